--- /dev/null
+++ b/engine.go
@@ -0,0 +1,67 @@
+package plank
+
+import (
+	"context"
+	"time"
+)
+
+// A Job is one model request on its way to an engine.
+type Job struct {
+	ID        RequestID
+	Workspace WorkspaceID
+	Key       KeyID
+	Model     Model
+	// Path is the caller's route, such as /v1/completions.
+	Path string
+	// Body is the request as sent to engines: JSON that names Model, never
+	// holds the caller's key and always asks for a stream.
+	Body []byte
+	// Cost is what was reserved for the request.
+	Cost Tokens
+	// Weight is the workspace's share of service relative to the others.
+	Weight float64
+	// Deadline ends the caller's patience.
+	Deadline time.Time
+	// Print is the fingerprint by which repeats of the request are recognised.
+	Print Fingerprint
+	// Offset is the number of chunks that the caller already has.
+	Offset int
+	// Alone asks that nothing else runs on the endpoint meanwhile.
+	Alone bool
+}
+
+// A Fingerprint identifies the content of a request over repeats.
+type Fingerprint string
+
+// A Chunk is one event of an engine's stream.
+type Chunk struct {
+	// Index counts from 0 over the whole answer, resumed parts included.
+	Index int
+	Data  []byte
+}
+
+// An Engine is a client of one model engine.
+type Engine interface {
+	// Generate runs the job and hands each chunk to emit, from job.Offset on,
+	// in order and without gap or repeat. It returns a *RefusalError if the
+	// engine refused and an *UnavailableError if the engine broke off.
+	Generate(ctx context.Context, job Job, emit func(Chunk) error) error
+	// Load makes a model resident.
+	Load(ctx context.Context, m Model, term Term) error
+	// Unload removes a model.
+	Unload(ctx context.Context, m Model, term Term) error
+	// Report returns the engine's own view of itself. The view lags.
+	Report(ctx context.Context) (EngineReport, error)
+}
+
+// An EngineReport is what an engine says of itself.
+type EngineReport struct {
+	// Boot changes when the engine restarts.
+	Boot BootID
+	// Leaving is set when the engine takes no new work.
+	Leaving bool
+	// Resident lists the loaded models.
+	Resident []Model
+	// Running counts executing requests.
+	Running int
+}
--- /dev/null
+++ b/ids.go
@@ -0,0 +1,44 @@
+package plank
+
+// This file defines the identifiers of the domain.
+
+// A WorkspaceID names a tenant.
+type WorkspaceID string
+
+// An AdapterID names a LoRA adapter without its version.
+type AdapterID string
+
+// A Version names one published version of an adapter.
+type Version string
+
+// An EndpointID names a back end: a model engine or a plain service replica.
+type EndpointID string
+
+// A VMID names one entry VM. A replaced VM has a new VMID.
+type VMID string
+
+// A BootID names one run of a process; it is unique over all runs.
+type BootID string
+
+// A DomainID names a failure domain.
+type DomainID string
+
+// A KeyID names a caller's key without revealing it.
+type KeyID string
+
+// A NoteID is the name that an operator gives to a release note.
+type NoteID string
+
+// A NoteNumber is the position of a release note in the chain. The first note
+// has number 1; 0 stands for the empty chain.
+type NoteNumber uint64
+
+// A RequestID names one caller's request within the system.
+type RequestID string
+
+// A ServiceID names a plain service, which may have several endpoints.
+type ServiceID string
+
+// A Token is a value that a writer attaches to a write so that it can recognise
+// its own write when the answer was lost.
+type Token string
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,209 @@
+// Package engine defines the client of OpenAI-compatible model engines with
+// dynamic adapters.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/engine/openai"
+)
+
+// maxLineBytes bounds one line of an engine's stream.
+const maxLineBytes = 1 << 20
+
+// A Client speaks to one engine.
+type Client struct {
+	id   plank.EndpointID
+	base string
+	http *http.Client
+}
+
+var _ plank.Engine = (*Client)(nil)
+
+// New returns a client of the engine at addr (host:port).
+func New(id plank.EndpointID, addr string, transport http.RoundTripper) *Client {
+	return &Client{id: id, base: "http://" + addr, http: &http.Client{Transport: transport}}
+}
+
+// A WrongModelError reports an answer by another model than the one asked for.
+type WrongModelError struct {
+	Want plank.Model
+	Got  string
+}
+
+// Error returns the message.
+func (e *WrongModelError) Error() string {
+	return fmt.Sprintf("asked for %s, answered by %q", e.Want, e.Got)
+}
+
+// Generate implements plank.Engine.
+func (c *Client) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+job.Path, bytes.NewReader(job.Body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(openai.HeaderRequest, string(job.ID))
+	if job.Offset > 0 {
+		req.Header.Set(openai.HeaderOffset, strconv.Itoa(job.Offset))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.unavailable("generate", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return c.refusal(resp)
+	}
+	return c.readStream(resp.Body, job, emit)
+}
+
+// refusal turns an engine's error status into an error.
+func (c *Client) refusal(resp *http.Response) error {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	if err != nil {
+		return c.unavailable("read refusal", err)
+	}
+	detail := fmt.Sprintf("endpoint %s: status %d: %s", c.id, resp.StatusCode, strings.TrimSpace(string(text)))
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return plank.Refuse(plank.CodeNoModel, "%s", detail)
+	case resp.StatusCode < http.StatusInternalServerError:
+		return plank.Refuse(plank.CodeBadRequest, "%s", detail)
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return plank.Refuse(plank.CodeNoEndpoint, "%s", detail)
+	}
+	return c.unavailable("generate", errors.New(detail))
+}
+
+// readStream hands the stream's chunks to emit. Chunks that the caller has
+// already are dropped; a gap or an early end is an error.
+func (c *Client) readStream(r io.Reader, job plank.Job, emit func(plank.Chunk) error) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	next := job.Offset
+	index := next
+	for lines.Scan() {
+		line := lines.Text()
+		if id, ok := strings.CutPrefix(line, "id:"); ok {
+			if n, err := strconv.Atoi(strings.TrimSpace(id)); err == nil {
+				index = n
+			}
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return nil
+		}
+		if index < next {
+			continue
+		}
+		if index > next {
+			return c.unavailable("generate", eris.Errorf("chunk %d after %d", index, next-1))
+		}
+		if err := checkModel(data, job.Model); err != nil {
+			return err
+		}
+		if err := emit(plank.Chunk{Index: next, Data: []byte(data)}); err != nil {
+			return err
+		}
+		next++
+		index = next
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return c.unavailable("generate", err)
+}
+
+// checkModel compares the model that a chunk names with the one asked for.
+func checkModel(data string, want plank.Model) error {
+	var chunk struct {
+		Model string `json:"model"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return eris.Wrap(err, "decode chunk")
+	}
+	if chunk.Model != want.String() {
+		return &WrongModelError{Want: want, Got: chunk.Model}
+	}
+	return nil
+}
+
+// Load implements plank.Engine.
+func (c *Client) Load(ctx context.Context, m plank.Model, term plank.Term) error {
+	return c.order(ctx, "/v1/load_lora_adapter", openai.Order{Name: m.String(), Path: m.String()}, term)
+}
+
+// Unload implements plank.Engine.
+func (c *Client) Unload(ctx context.Context, m plank.Model, term plank.Term) error {
+	return c.order(ctx, "/v1/unload_lora_adapter", openai.Order{Name: m.String()}, term)
+}
+
+func (c *Client) order(ctx context.Context, path string, order openai.Order, term plank.Term) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return eris.Wrap(err, "encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(openai.HeaderTerm, strconv.FormatUint(uint64(term), 10))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.unavailable("order", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return c.refusal(resp)
+	}
+	return nil
+}
+
+// reportTimeout bounds the wait for a load report.
+const reportTimeout = time.Second
+
+// Report implements plank.Engine.
+func (c *Client) Report(ctx context.Context) (plank.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var report plank.EngineReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/report", nil)
+	if err != nil {
+		return report, eris.Wrap(err, "make request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return report, c.unavailable("report", err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLineBytes)).Decode(&report); err != nil {
+		return report, c.unavailable("report", err)
+	}
+	return report, nil
+}
+
+func (c *Client) unavailable(op string, err error) error {
+	return &plank.UnavailableError{Target: "endpoint " + string(c.id), Op: op, Err: err}
+}
--- /dev/null
+++ b/internal/place/value.go
@@ -0,0 +1,42 @@
+package place
+
+import (
+	"time"
+
+	"knapweedplank.org/plank"
+)
+
+// HalfLife is the time in which the count of past uses of a model halves.
+const HalfLife = 2 * time.Minute
+
+// minResidence is how long a loaded model is kept against a want that is no
+// more in demand than the model was. It stops two models from displacing each
+// other in turn.
+const minResidence = 2 * time.Second
+
+// Value evicts the model whose aged count of uses is lowest. A model with
+// copies on other endpoints counts less, because losing one copy costs no load.
+type Value struct{}
+
+var _ plank.Evictor = Value{}
+
+// Name implements plank.Evictor.
+func (Value) Name() string { return "value" }
+
+// Victim implements plank.Evictor.
+func (Value) Victim(slots []plank.Slot, demand int, now time.Time) int {
+	victim := -1
+	lowest := 0.0
+	for i := range slots {
+		s := &slots[i]
+		value := s.Uses / float64(max(1, s.Copies))
+		if now.Sub(s.LoadedAt) < minResidence && float64(demand) <= s.Uses {
+			continue
+		}
+		if victim < 0 || value < lowest || value == lowest && s.LastUse.Before(slots[victim].LastUse) {
+			victim = i
+			lowest = value
+		}
+	}
+	return victim
+}
--- /dev/null
+++ b/internal/route/least.go
@@ -0,0 +1,29 @@
+// Package route defines the policies that choose the endpoint for a request.
+package route
+
+import "knapweedplank.org/plank"
+
+// Least picks the endpoint with the fewest outstanding requests for its size,
+// whatever it holds. It is the baseline.
+type Least struct{}
+
+var _ plank.Router = Least{}
+
+// Name implements plank.Router.
+func (Least) Name() string { return "least" }
+
+// Pick implements plank.Router.
+func (Least) Pick(cs []plank.Candidate) int {
+	best := -1
+	for i := range cs {
+		if best < 0 || fill(&cs[i]) < fill(&cs[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// fill returns the outstanding requests in units of full batches.
+func fill(c *plank.Candidate) float64 {
+	return float64(c.Outstanding) / float64(max(1, c.Batch))
+}
--- /dev/null
+++ b/internal/store/wire.go
@@ -0,0 +1,38 @@
+package store
+
+import "knapweedplank.org/plank"
+
+// This file defines the JSON bodies of the platform's object API.
+
+// An ObjectReply answers a get or a put.
+type ObjectReply struct {
+	Key     string
+	Value   []byte
+	Version plank.ObjectVersion
+}
+
+// A ListReply answers a list.
+type ListReply struct {
+	Objects  []ObjectItem
+	Revision plank.Revision
+}
+
+// An ObjectItem is one object of a list.
+type ObjectItem struct {
+	Key     string
+	Value   []byte
+	Version plank.ObjectVersion
+}
+
+// A WatchReply answers a watch. Gap is set when the platform no longer has all
+// changes since the given revision; the reader must list again.
+type WatchReply struct {
+	Changes  []ChangeItem
+	Revision plank.Revision
+}
+
+// A ChangeItem is one change of a watch.
+type ChangeItem struct {
+	Object   ObjectItem
+	Revision plank.Revision
+}
