--- /dev/null
+++ b/cmd/knapweedplank/note.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/keys"
+	"knapweedplank.org/plank/internal/status"
+	"knapweedplank.org/plank/internal/store"
+	"knapweedplank.org/plank/pkg/notes"
+)
+
+// A noteCmd groups the commands on release notes.
+type noteCmd struct {
+	Check  noteCheckCmd  `cmd:"" help:"Check a note without contacting anything."`
+	Apply  noteApplyCmd  `cmd:"" help:"Have a note accepted; applying it again changes nothing."`
+	Status noteStatusCmd `cmd:"" help:"Tell whether a note is in force, and on which VMs not."`
+	List   noteListCmd   `cmd:"" help:"List the accepted notes."`
+}
+
+type noteCheckCmd struct {
+	File string `arg:"" help:"Note file, JSON with comments."`
+}
+
+// Run checks the file.
+func (c *noteCheckCmd) Run() error {
+	n, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("note %s is fine; it touches %d items\n", n.Id, len(n.Touches()))
+	return nil
+}
+
+// readNote reads and checks a note file.
+func readNote(path string) (*notes.Note, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &exitError{code: exitUsage, err: err}
+	}
+	return notes.Parse(text)
+}
+
+// platformFlag names the object API.
+type platformFlag struct {
+	Platform string `required:"" env:"KNAPWEEDPLANK_PLATFORM" placeholder:"HOST:PORT" help:"Address of the platform's object API."`
+}
+
+type noteApplyCmd struct {
+	platformFlag
+	File    string        `arg:"" help:"Note file, JSON with comments."`
+	Latest  bool          `help:"Take the newest accepted note as the note's Base."`
+	Wait    bool          `help:"Wait until the note is in force everywhere."`
+	Timeout time.Duration `default:"30s" help:"How long to try and to wait."`
+}
+
+// Run has the note accepted.
+func (c *noteApplyCmd) Run() error {
+	n, err := readNote(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	s := store.New(c.Platform)
+	number, err := appendNote(ctx, s, n, c.Latest)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("note %s is accepted as number %d\n", n.Id, number)
+	if !c.Wait {
+		return nil
+	}
+	return waitInForce(ctx, s, n.Id)
+}
+
+// appendNote appends a note, settling lost answers by trying again.
+func appendNote(ctx context.Context, s plank.Store, n *notes.Note, latest bool) (plank.NoteNumber, error) {
+	token := plank.Token(rand.Text())
+	for {
+		chain := notes.NewChain(s)
+		err := chain.Refresh(ctx)
+		if err == nil {
+			if latest {
+				n.Base = baseOf(chain, n)
+			}
+			var number plank.NoteNumber
+			if number, err = chain.Append(ctx, n, token); err == nil {
+				return number, nil
+			}
+		}
+		var away *plank.UnavailableError
+		if !errors.As(err, &away) || !pauseFor(ctx, retryPause) {
+			return 0, err
+		}
+	}
+}
+
+// baseOf returns the newest note number, or the Base under which the chain holds
+// the note already, so that applying it again stays the same note.
+func baseOf(chain *notes.Chain, n *notes.Note) plank.NoteNumber {
+	for _, l := range chain.Links() {
+		if l.Note.Id == n.Id {
+			return l.Note.Base
+		}
+	}
+	return chain.Catalog().Number
+}
+
+const retryPause = 300 * time.Millisecond
+
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type noteStatusCmd struct {
+	platformFlag
+	ID      string        `arg:"" optional:"" help:"Id of the note; the newest by default."`
+	Wait    bool          `help:"Wait until the note is in force."`
+	JSON    bool          `name:"json" help:"Print JSON."`
+	Timeout time.Duration `default:"30s" help:"How long to try and to wait."`
+}
+
+// Run prints the status. The exit code tells whether the note is in force.
+func (c *noteStatusCmd) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	s := store.New(c.Platform)
+	if c.Wait {
+		return waitInForce(ctx, s, plank.NoteID(c.ID))
+	}
+	r, err := status.Read(ctx, s, plank.NoteID(c.ID))
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(r)
+	} else {
+		printReport(r)
+	}
+	if err == nil && !r.InForce {
+		err = &exitError{code: exitNotYet, err: errors.New("not in force yet")}
+	}
+	return err
+}
+
+func printReport(r status.Report) {
+	if r.InForce {
+		fmt.Printf("note %s (number %d) is in force on all %d VMs\n", r.Id, r.Number, r.VMs)
+		return
+	}
+	fmt.Printf("note %s (number %d) is not in force yet: %d of %d VMs lag\n", r.Id, r.Number, len(r.Lagging), r.VMs)
+	for _, l := range r.Lagging {
+		fmt.Printf("  %s (%s) is at number %d, state %s\n", l.VM, l.Domain, l.Applied, l.State)
+	}
+}
+
+// waitInForce waits until the note is in force and prints the last status.
+func waitInForce(ctx context.Context, s plank.Store, id plank.NoteID) error {
+	for {
+		r, err := status.Read(ctx, s, id)
+		var away *plank.UnavailableError
+		switch {
+		case err == nil && r.InForce:
+			printReport(r)
+			return nil
+		case err != nil && !errors.As(err, &away):
+			return err
+		}
+		if !pauseFor(ctx, retryPause) {
+			if err == nil {
+				printReport(r)
+				err = errors.New("not in force yet")
+			}
+			return &exitError{code: exitNotYet, err: err}
+		}
+	}
+}
+
+type noteListCmd struct {
+	platformFlag
+}
+
+// Run lists the notes.
+func (c *noteListCmd) Run() error {
+	chain := notes.NewChain(store.New(c.Platform))
+	if err := chain.Refresh(context.Background()); err != nil {
+		return err
+	}
+	for _, l := range chain.Links() {
+		fmt.Printf("%d\t%s\t%d items\t%s\n", l.Number, l.Note.Id, len(l.Note.Touches()), l.Note.Comment)
+	}
+	return nil
+}
+
+type keyCmd struct{}
+
+// Run prints a new key with its hash.
+func (c *keyCmd) Run() error {
+	key := "kp-" + rand.Text()
+	fmt.Printf("key  %s\nhash %s\n", key, keys.Hash(key))
+	return nil
+}
--- /dev/null
+++ b/cmd/knapweedplank/serve.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"knapweedplank.org/plank/internal/config"
+	"knapweedplank.org/plank/internal/daemon"
+	"knapweedplank.org/plank/internal/logs"
+	"knapweedplank.org/plank/pkg/notes"
+)
+
+// A serveCmd runs the daemon.
+type serveCmd struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings file, JSON with comments."`
+}
+
+// Run runs until SIGTERM or SIGINT; a second signal stops at once.
+func (c *serveCmd) Run() error {
+	cfg, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg, logs.New(cfg.Logs, os.Stderr))
+	if err != nil {
+		return err
+	}
+	return waitAndStop(d)
+}
+
+// waitAndStop stops the daemon gracefully after a signal.
+func waitAndStop(d *daemon.Daemon) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	done := make(chan error, 1)
+	go func() { done <- d.Shutdown() }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		return errors.New("stopped at once by a second signal")
+	}
+}
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var exit *exitError
+	var setting *config.Error
+	var faulty *notes.FaultyError
+	var changed *notes.ChangedError
+	var reused *notes.ReusedError
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &setting), errors.As(err, &faulty):
+		return exitUsage
+	case errors.As(err, &changed), errors.As(err, &reused):
+		return exitConflict
+	}
+	return exitFailure
+}
+
+// A settingsCmd groups the commands on settings.
+type settingsCmd struct {
+	Check   settingsCheckCmd   `cmd:"" help:"Check a settings file."`
+	Example settingsExampleCmd `cmd:"" help:"Print an example with every field explained."`
+}
+
+type settingsCheckCmd struct {
+	File string `arg:"" help:"Settings file."`
+}
+
+// Run checks the file.
+func (c *settingsCheckCmd) Run() error {
+	if _, err := config.Load(c.File); err != nil {
+		return err
+	}
+	fmt.Println("settings are fine")
+	return nil
+}
+
+type settingsExampleCmd struct{}
+
+// Run prints the example.
+func (c *settingsExampleCmd) Run() error {
+	fmt.Print(config.Example)
+	return nil
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,326 @@
+// Package feed defines how a VM learns of changes: by one watch of the
+// platform and, while that fails or lags, from other VMs.
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/claim"
+	"knapweedplank.org/plank/internal/ctrl"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/wire"
+	"knapweedplank.org/plank/pkg/notes"
+)
+
+// PoisonPrefix is where quarantined requests lie in the object API.
+const PoisonPrefix = "poison/"
+
+// The pace of the feed.
+const (
+	firstBackoff = 200 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// relistEvery bounds how long a change that a watch missed stays unseen.
+	relistEvery = time.Minute
+	// peersEvery is the pause between looks at the peers' note numbers.
+	peersEvery = 250 * time.Millisecond
+	// pageLinks bounds the notes asked of a peer at once.
+	pageLinks = 256
+)
+
+// A Feed keeps the control thread up to date.
+type Feed struct {
+	store   plank.Store
+	control *ctrl.Control
+	hub     *peer.Hub
+	poison  *poison.Table
+	log     *logrus.Entry
+
+	mu      sync.Mutex
+	records map[plank.DomainID]claim.Record
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New starts the feed.
+func New(store plank.Store, control *ctrl.Control, hub *peer.Hub, poisons *poison.Table, log *logrus.Entry) *Feed {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Feed{
+		store: store, control: control, hub: hub, poison: poisons, log: log,
+		records: make(map[plank.DomainID]claim.Record), cancel: cancel,
+	}
+	f.done.Add(2)
+	go func() {
+		defer f.done.Done()
+		f.watchPlatform(ctx)
+	}()
+	go func() {
+		defer f.done.Done()
+		f.watchPeers(ctx)
+	}()
+	return f
+}
+
+// Close stops the feed.
+func (f *Feed) Close() {
+	f.cancel()
+	f.done.Wait()
+}
+
+// Records returns the records of all domains as last seen.
+func (f *Feed) Records() []claim.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]claim.Record, 0, len(f.records))
+	for _, r := range f.records {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b claim.Record) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
+	return out
+}
+
+// prefixes lists what the feed follows.
+func prefixes() []string {
+	return []string{notes.Prefix, claim.Prefix, PoisonPrefix, ctrl.ListKey}
+}
+
+// watchPlatform lists and then watches, over and over.
+func (f *Feed) watchPlatform(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := f.listAndWatch(ctx, &backoff)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.log.WithError(err).Warn("feed: platform unavailable")
+		// Jitter spreads the VMs' return after an outage.
+		pauseFor(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (f *Feed) listAndWatch(ctx context.Context, backoff *time.Duration) error {
+	revision, err := f.list(ctx)
+	if err != nil {
+		return err
+	}
+	*backoff = firstBackoff
+	for relist := time.Now().Add(relistEvery); time.Now().Before(relist); {
+		changes, next, err := f.store.Watch(ctx, prefixes(), revision)
+		if err != nil {
+			return err
+		}
+		if next < revision {
+			return nil // the platform lost its history
+		}
+		for _, c := range changes {
+			f.take(c.Object)
+		}
+		revision = max(revision, next)
+	}
+	return nil
+}
+
+// list reads everything that the feed follows, notes only after those in force.
+func (f *Feed) list(ctx context.Context) (plank.Revision, error) {
+	lowest := plank.Revision(0)
+	for i, prefix := range prefixes() {
+		after := ""
+		if prefix == notes.Prefix {
+			after = notes.LinkKey(f.control.Snapshot().Catalog.Number)
+		}
+		for page := 0; ; page++ {
+			objects, revision, err := f.store.List(ctx, prefix, after)
+			if err != nil {
+				return 0, err
+			}
+			if page == 0 && (i == 0 || revision < lowest) {
+				lowest = revision
+			}
+			if len(objects) == 0 {
+				break
+			}
+			f.takeAll(objects)
+			after = objects[len(objects)-1].Key
+		}
+	}
+	f.control.TakeHead(0) // what the list held is known by now
+	return lowest, nil
+}
+
+// takeAll takes a page of objects, notes together.
+func (f *Feed) takeAll(objects []plank.Object) {
+	var links []notes.Link
+	var raw [][]byte
+	for _, o := range objects {
+		if !strings.HasPrefix(o.Key, notes.Prefix) {
+			f.take(o)
+			continue
+		}
+		if l, err := notes.DecodeLink(o.Value); err == nil {
+			links = append(links, l)
+			raw = append(raw, o.Value)
+		}
+	}
+	if len(links) > 0 {
+		f.control.TakeLinks(links, raw)
+	}
+}
+
+// take takes one changed object.
+func (f *Feed) take(o plank.Object) {
+	switch {
+	case strings.HasPrefix(o.Key, notes.Prefix):
+		l, err := notes.DecodeLink(o.Value)
+		if err != nil {
+			f.log.WithError(err).Error("feed: note cannot be read")
+			return
+		}
+		f.control.TakeLinks([]notes.Link{l}, [][]byte{o.Value})
+	case strings.HasPrefix(o.Key, claim.Prefix):
+		f.takeRecord(o)
+	case strings.HasPrefix(o.Key, PoisonPrefix):
+		var e poison.Entry
+		if err := json.Unmarshal(o.Value, &e); err == nil {
+			f.poison.Merge(e)
+		}
+	case o.Key == ctrl.ListKey:
+		var l ctrl.PlatformList
+		if err := json.Unmarshal(o.Value, &l); err == nil {
+			f.control.TakeList(l)
+		}
+	}
+}
+
+func (f *Feed) takeRecord(o plank.Object) {
+	d := plank.DomainID(strings.TrimPrefix(o.Key, claim.Prefix))
+	r, err := claim.Decode(d, o.Value)
+	if err != nil {
+		f.log.WithError(err).Error("feed: domain record cannot be read")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records[d] = r
+}
+
+// watchPeers takes notes from a peer that has more of them. It covers a
+// platform that is away or lags.
+func (f *Feed) watchPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		snap := f.control.Snapshot()
+		address := ""
+		highest := snap.Catalog.Number
+		for i := range snap.Peers {
+			if p := &snap.Peers[i]; p.Applied > highest {
+				highest, address = p.Applied, p.Address
+			}
+		}
+		if address != "" {
+			if err := f.fetch(ctx, address, snap.Catalog.Number); err != nil && ctx.Err() == nil {
+				f.log.WithError(err).Warn("feed: notes of a peer not available")
+			}
+		}
+		pauseFor(ctx, peersEvery)
+	}
+}
+
+// fetch takes the notes after a number from the VM at address.
+func (f *Feed) fetch(ctx context.Context, address string, after plank.NoteNumber) error {
+	var reply wire.NotesReply
+	call := &wire.Call{Body: &wire.Call_Notes{Notes: &wire.NotesRequest{After: uint64(after)}}}
+	if err := f.hub.Call(ctx, address, call, &reply); err != nil {
+		return err
+	}
+	if len(reply.GetCatalog()) > 0 {
+		var c notes.Catalog
+		if err := json.Unmarshal(reply.GetCatalog(), &c); err != nil {
+			return err
+		}
+		f.control.TakeCatalog(&c)
+	}
+	var links []notes.Link
+	for _, raw := range reply.GetLinks() {
+		l, err := notes.DecodeLink(raw)
+		if err != nil {
+			return err
+		}
+		links = append(links, l)
+	}
+	f.control.TakeLinks(links, reply.GetLinks())
+	return nil
+}
+
+// ServeNotes answers a peer that asks for notes.
+func (f *Feed) ServeNotes(req *wire.NotesRequest, s *peer.Stream) {
+	links, catalog := f.control.LinksAfter(plank.NoteNumber(req.GetAfter()), pageLinks)
+	reply := &wire.NotesReply{Links: links}
+	if catalog != nil {
+		data, err := json.Marshal(catalog)
+		if err != nil {
+			f.log.WithError(err).Error("feed: catalog cannot be encoded")
+			return
+		}
+		reply.Catalog = data
+	}
+	// The peer may be gone; it asks another then.
+	_ = s.Send(reply)
+}
+
+// StorePoison writes what this VM learned of a request that crashes endpoints.
+func (f *Feed) StorePoison(ctx context.Context, e poison.Entry) {
+	key := PoisonPrefix + string(e.Print)
+	for ctx.Err() == nil {
+		err := f.storePoison(ctx, key, e)
+		var conflict *plank.ConflictError
+		if err == nil {
+			return
+		}
+		if !errors.As(err, &conflict) {
+			pauseFor(ctx, maxBackoff)
+		}
+	}
+}
+
+func (f *Feed) storePoison(ctx context.Context, key string, e poison.Entry) error {
+	o, err := f.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if o.Version != 0 {
+		var stored poison.Entry
+		if err := json.Unmarshal(o.Value, &stored); err != nil {
+			return err
+		}
+		f.poison.Merge(stored)
+		if merged, ok := f.poison.Lookup(e.Print); ok {
+			e = merged
+		}
+		if stored.Crashes >= e.Crashes && stored.Quarantined == e.Quarantined {
+			return nil
+		}
+	}
+	value, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = f.store.Put(ctx, key, value, o.Version)
+	return err
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/limit/book.go
+++ b/internal/limit/book.go
@@ -21,6 +21,9 @@
 type Options struct {
 	// Static turns lending off; it is the baseline.
 	Static bool
+	// Valid returns until when the VM may use its own share. A nil Valid never
+	// ends.
+	Valid func() time.Time
 }
 
 // A Book holds a VM's buckets of all workspaces. It is safe for concurrent use.
@@ -32,6 +35,8 @@
 	mu      sync.Mutex
 	buckets map[plank.WorkspaceID]*Bucket
 	share   plank.PPM
+	// inForce is share, or 0 once the lease has ended.
+	inForce plank.PPM
 }
 
 // New returns a book without shares.
@@ -59,7 +64,7 @@
 		bucket := b.buckets[ws]
 		if bucket == nil {
 			bucket = NewBucket(now)
-			bucket.SetShare(now, b.share)
+			bucket.SetShare(now, b.inForce)
 			b.buckets[ws] = bucket
 		}
 		bucket.SetLimit(now, l.Rate, l.Burst)
@@ -71,22 +76,51 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.share = share
+	b.check()
+}
+
+// check brings the share in force in line with the lease. It runs before each
+// use, so that a process that was paused beyond its lease does not go on with
+// what others may hold by then. The lock is held.
+func (b *Book) check() time.Time {
 	now := b.clock.Now()
-	for _, bucket := range b.buckets {
-		bucket.SetShare(now, share)
+	want := b.share
+	if b.opts.Valid != nil && !now.Before(b.opts.Valid()) {
+		want = 0
 	}
+	if want != b.inForce {
+		b.inForce = want
+		for _, bucket := range b.buckets {
+			bucket.SetShare(now, want)
+		}
+	}
+	return now
 }
 
-// Releasable returns the part of the share that no workspace has lent out.
-func (b *Book) Releasable() plank.PPM {
+// GiveShare lowers the VM's own share by up to amount, as far as no workspace
+// has lent it out, and returns by how much.
+func (b *Book) GiveShare(amount plank.PPM) plank.PPM {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := b.share
-	now := b.clock.Now()
+	now := b.check()
+	amount = min(amount, b.inForce)
 	for _, bucket := range b.buckets {
-		share = min(share, bucket.Releasable(now))
+		amount = min(amount, bucket.Releasable(now))
+	}
+	b.share -= amount
+	b.check()
+	return amount
+}
+
+// Fill fills the bucket of a workspace. It is for limits that are not promised
+// to anyone.
+func (b *Book) Fill(ws plank.WorkspaceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.check()
+	if bucket := b.buckets[ws]; bucket != nil {
+		bucket.Fill(now)
 	}
-	return share
 }
 
 // A Grant is an admitted cost.
@@ -155,7 +189,7 @@
 	if cost > bucket.burst {
 		return nil, 0, plank.Refuse(plank.CodeRateLimited, "the request costs %.0f tokens, more than the burst %.0f of workspace %s", cost, bucket.burst, ws)
 	}
-	now := b.clock.Now()
+	now := b.check()
 	if mark, ok := bucket.Take(now, cost); ok {
 		return &Grant{Workspace: ws, Cost: cost, bucket: bucket, mark: mark}, 0, nil
 	}
@@ -223,14 +257,14 @@
 	if bucket == nil || b.opts.Static {
 		return Loan{}
 	}
-	return bucket.Lend(b.clock.Now(), want)
+	return bucket.Lend(b.check(), want)
 }
 
 // Spares returns the tokens at hand by workspace.
 func (b *Book) Spares() map[plank.WorkspaceID]plank.Tokens {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
+	now := b.check()
 	spares := make(map[plank.WorkspaceID]plank.Tokens, len(b.buckets))
 	for ws, bucket := range b.buckets {
 		if level := bucket.Level(now); level >= 1 {
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -167,6 +167,13 @@
 	b.level += amount
 }
 
+// Fill fills the bucket to its cap.
+func (b *Bucket) Fill(now time.Time) {
+	b.advance(now)
+	b.level = b.maxLevel()
+	b.clip()
+}
+
 // Level returns the tokens at hand.
 func (b *Bucket) Level(now time.Time) plank.Tokens {
 	b.advance(now)
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,220 @@
+// Package member defines what a VM knows of the other VMs, by heartbeats that
+// they exchange directly.
+package member
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// The times of heartbeats.
+const (
+	// BeatEvery is the pause between heartbeats to VMs of the own domain.
+	BeatEvery = 500 * time.Millisecond
+	// FreshTime is how long a VM counts as reachable after a heartbeat.
+	FreshTime = 2 * time.Second
+	// ForgetTime is how long a silent VM that no record lists is kept.
+	ForgetTime = time.Minute
+)
+
+// A Peer is what is known of another VM.
+type Peer struct {
+	VM      plank.VMID
+	Boot    plank.BootID
+	Domain  plank.DomainID
+	Address string
+	Applied plank.NoteNumber
+	Leaving bool
+	// Heard is when the VM's own heartbeat last arrived here; it was answered,
+	// and so holds up that VM's lease.
+	Heard time.Time
+	// Answered is when the last heartbeat that the VM answered was sent. It
+	// holds up this VM's lease.
+	Answered time.Time
+	// Endpoints is the state of the endpoints that the VM owns.
+	Endpoints map[plank.EndpointID]Endpoint
+	Spares    map[plank.WorkspaceID]plank.Tokens
+
+	stateSeq uint64 // of Endpoints
+	seenSeq  uint64 // of this VM's state, as acknowledged
+}
+
+// An Endpoint is what its owner tells of it.
+type Endpoint struct {
+	Term        plank.Term
+	Up          bool
+	Leaving     bool
+	Outstanding int
+	Loads       int
+	Resident    map[plank.Model]bool
+	Loading     map[plank.Model]bool
+}
+
+// Fresh reports whether the peer was heard or answered lately.
+func (p *Peer) Fresh(now time.Time) bool {
+	return now.Sub(p.Heard) < FreshTime || now.Sub(p.Answered) < FreshTime
+}
+
+// A Table holds all known peers. It is safe for concurrent use.
+type Table struct {
+	self plank.VMID
+
+	mu    sync.Mutex
+	peers map[plank.VMID]*Peer
+}
+
+// New returns an empty table of the VM self.
+func New(self plank.VMID) *Table {
+	return &Table{self: self, peers: make(map[plank.VMID]*Peer)}
+}
+
+// Take merges a peer's heartbeat. sent is when this VM sent the heartbeat that
+// it answers, or zero when it came by itself.
+func (t *Table) Take(hb *wire.Heartbeat, sent, now time.Time, myBoot plank.BootID) {
+	vm := plank.VMID(hb.GetVm())
+	if vm == t.self || vm == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[vm]
+	if p == nil || p.Boot != plank.BootID(hb.GetBoot()) {
+		// What an earlier run said no longer holds, nor does its consent.
+		p = &Peer{VM: vm, Boot: plank.BootID(hb.GetBoot())}
+		t.peers[vm] = p
+	}
+	p.Domain = plank.DomainID(hb.GetDomain())
+	p.Address = hb.GetAddress()
+	p.Applied = max(p.Applied, plank.NoteNumber(hb.GetApplied()))
+	p.Leaving = hb.GetLeaving()
+	if sent.IsZero() {
+		p.Heard = now
+	} else if sent.After(p.Answered) {
+		p.Answered = sent
+	}
+	if hb.GetSeenBootHash() == BootHash(myBoot) {
+		p.seenSeq = hb.GetSeenSeq()
+	}
+	p.takeState(hb)
+}
+
+// takeState replaces the parts of the peer's state that the heartbeat holds.
+func (p *Peer) takeState(hb *wire.Heartbeat) {
+	if st := hb.GetState(); st != nil && hb.GetStateSeq() >= p.stateSeq {
+		p.stateSeq = hb.GetStateSeq()
+		p.Endpoints = make(map[plank.EndpointID]Endpoint, len(st.GetEndpoints()))
+		for _, e := range st.GetEndpoints() {
+			p.Endpoints[plank.EndpointID(e.GetEndpoint())] = Endpoint{
+				Term: plank.Term(e.GetTerm()), Up: e.GetUp(), Leaving: e.GetLeaving(),
+				Resident: models(e.GetResident()), Loading: models(e.GetLoading()),
+			}
+		}
+	}
+	for _, l := range hb.GetLoads() {
+		id := plank.EndpointID(l.GetEndpoint())
+		if e, ok := p.Endpoints[id]; ok {
+			e.Outstanding, e.Loads = int(l.GetOutstanding()), int(l.GetWaitingLoads())
+			p.Endpoints[id] = e
+		}
+	}
+	p.Spares = make(map[plank.WorkspaceID]plank.Tokens, len(hb.GetSpares()))
+	for _, s := range hb.GetSpares() {
+		p.Spares[plank.WorkspaceID(s.GetWorkspace())] = plank.Tokens(s.GetTokens())
+	}
+}
+
+func models(names []string) map[plank.Model]bool {
+	set := make(map[plank.Model]bool, len(names))
+	for _, name := range names {
+		if m, ok := plank.ParseModel(name); ok {
+			set[m] = true
+		}
+	}
+	return set
+}
+
+// BootHash is the short form in which heartbeats name the receiver's run.
+func BootHash(b plank.BootID) uint64 { return xxhash.Sum64String(string(b)) }
+
+// Seen returns the version of the peer's state that is known here, the hash of
+// the run that it belongs to, and the version of this VM's state that the peer
+// has acknowledged.
+func (t *Table) Seen(vm plank.VMID) (seq, bootHash, acked uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[vm]
+	if p == nil {
+		return 0, 0, 0
+	}
+	return p.stateSeq, BootHash(p.Boot), p.seenSeq
+}
+
+// Peers returns copies of all known peers, sorted by VM.
+func (t *Table) Peers() []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		c := *p
+		// Loads change in place; the copy must not.
+		c.Endpoints = make(map[plank.EndpointID]Endpoint, len(p.Endpoints))
+		for id, e := range p.Endpoints {
+			c.Endpoints[id] = e
+		}
+		peers = append(peers, c)
+	}
+	slices.SortFunc(peers, func(a, b Peer) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return peers
+}
+
+// Heard returns when the VM's own heartbeat last arrived.
+func (t *Table) Heard(vm plank.VMID) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[vm]; p != nil {
+		return p.Heard
+	}
+	return time.Time{}
+}
+
+// Consent returns until when all the given VMs hold up this VM's lease, each by
+// having answered a heartbeat within consent.
+func (t *Table) Consent(vms []plank.VMID, consent time.Duration, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until := now.Add(consent)
+	for _, vm := range vms {
+		if vm == t.self {
+			continue
+		}
+		p := t.peers[vm]
+		if p == nil {
+			return time.Time{}
+		}
+		if u := p.Answered.Add(consent); u.Before(until) {
+			until = u
+		}
+	}
+	return until
+}
+
+// Forget drops peers that have been silent for ForgetTime.
+func (t *Table) Forget(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for vm, p := range t.peers {
+		if now.Sub(p.Heard) > ForgetTime && now.Sub(p.Answered) > ForgetTime {
+			delete(t.peers, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,47 @@
+// Package policy maps the names of policies in the settings to policies.
+package policy
+
+import (
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/config"
+	"knapweedplank.org/plank/internal/order"
+	"knapweedplank.org/plank/internal/place"
+	"knapweedplank.org/plank/internal/queue"
+	"knapweedplank.org/plank/internal/route"
+)
+
+// A Set holds the chosen policies.
+type Set struct {
+	Router  plank.Router
+	Evictor plank.Evictor
+	Order   plank.LoadOrder
+	// NewQueue makes the queue of one endpoint.
+	NewQueue func() plank.Queue
+	// Static turns the lending of shares off.
+	Static bool
+}
+
+// New returns the policies that checked settings name.
+func New(cfg config.Policies) Set {
+	s := Set{Router: route.Affin{}, Evictor: place.Value{}, Order: order.Value{}, Static: cfg.Shares == "static"}
+	s.NewQueue = func() plank.Queue { return queue.NewFair() }
+	switch cfg.Router {
+	case "least":
+		s.Router = route.Least{}
+	case "two":
+		s.Router = route.Two{}
+	}
+	if cfg.Evictor == "lru" {
+		s.Evictor = place.LRU{}
+	}
+	switch cfg.Order {
+	case "deadline":
+		s.Order = order.Deadline{}
+	case "fifo":
+		s.Order = order.FIFO{}
+	}
+	if cfg.Queue == "fifo" {
+		s.NewQueue = func() plank.Queue { return queue.NewFIFO() }
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,224 @@
+// Package relay defines how a job finds an endpoint and is retried: on this
+// VM's own runner, or forwarded to the VM that owns the endpoint.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/ctrl"
+	"knapweedplank.org/plank/internal/engine"
+	"knapweedplank.org/plank/internal/peer"
+)
+
+// The rules of retries.
+const (
+	// maxAttempts bounds the endpoints that are tried for one job.
+	maxAttempts = 4
+	// maxBroken is after how many endpoints that broke off while they ran the
+	// job no other is put at risk.
+	maxBroken = 2
+	// waitPart is the part of the remaining patience that a job waits for an
+	// endpoint to become available.
+	waitPart  = 2
+	waitPause = 50 * time.Millisecond
+)
+
+// A Relay runs jobs on endpoints. It is safe for concurrent use.
+type Relay struct {
+	self    plank.VMID
+	control *ctrl.Control
+	hub     *peer.Hub
+	router  plank.Router
+	budget  *Budget
+	clock   plank.Clock
+	log     *logrus.Entry
+	scratch sync.Pool
+}
+
+// New returns a relay.
+func New(self plank.VMID, control *ctrl.Control, hub *peer.Hub, router plank.Router, clock plank.Clock, log *logrus.Entry) *Relay {
+	return &Relay{
+		self: self, control: control, hub: hub, router: router, budget: NewBudget(), clock: clock, log: log,
+		scratch: sync.Pool{New: func() any { return new(scratch) }},
+	}
+}
+
+type scratch struct {
+	candidates []plank.Candidate
+	index      []int
+}
+
+// A course is the state of one job over its attempts.
+type course struct {
+	job    plank.Job
+	base   string
+	emit   func(plank.Chunk) error
+	skip   []plank.EndpointID
+	broken int
+	began  bool // an endpoint may have begun the job
+	last   error
+}
+
+// Run runs the job on engines of the base model, in order and whole, and hands
+// its chunks to emit. Errors: *plank.RefusalError, or what emit returned.
+func (r *Relay) Run(ctx context.Context, job plank.Job, base string, emit func(plank.Chunk) error) error {
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	r.budget.Request()
+	c := &course{job: job, base: base}
+	c.emit = func(chunk plank.Chunk) error {
+		if chunk.Index != c.job.Offset {
+			return nil // a repeat of what the caller has
+		}
+		if err := emit(chunk); err != nil {
+			return &callerError{err}
+		}
+		c.job.Offset++
+		return nil
+	}
+	giveUp := r.clock.Now().Add(job.Deadline.Sub(r.clock.Now()) / waitPart)
+	for attempt := 0; ; {
+		e, ok := r.pick(c)
+		if !ok {
+			if len(c.skip) > 0 {
+				// Every endpoint was tried; those that refused may take it now.
+				c.skip = nil
+			}
+			if r.clock.Now().After(giveUp) || !pause(ctx) {
+				return c.refusal(ctx)
+			}
+			continue
+		}
+		err := r.try(ctx, c, e)
+		if err == nil {
+			return nil
+		}
+		attempt++
+		if again := r.judge(ctx, c, e, err); !again || attempt >= maxAttempts {
+			return c.refusal(ctx)
+		}
+	}
+}
+
+// A callerError wraps an error of the caller's connection.
+type callerError struct{ err error }
+
+func (e *callerError) Error() string { return e.err.Error() }
+func (e *callerError) Unwrap() error { return e.err }
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(waitPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// pick chooses an engine and logs the decision.
+func (r *Relay) pick(c *course) (ctrl.Engine, bool) {
+	snap := r.control.Snapshot()
+	s := r.scratch.Get().(*scratch)
+	defer r.scratch.Put(s)
+	s.candidates, s.index = snap.Candidates(c.job.Model, c.base, c.skip, s.candidates, s.index)
+	i := r.router.Pick(s.candidates)
+	if i < 0 {
+		return ctrl.Engine{}, false
+	}
+	e := snap.Engines[s.index[i]]
+	reason := "load"
+	if s.candidates[i].Resident {
+		reason = "resident"
+	}
+	r.log.WithFields(logrus.Fields{
+		"request": c.job.ID, "workspace": c.job.Workspace, "model": c.job.Model.String(), "endpoint": e.Endpoint.Id,
+		"owner": e.Owner, "policy": r.router.Name(), "reason": reason, "outstanding": s.candidates[i].Outstanding,
+		"offset": c.job.Offset, "deadline": c.job.Deadline.Format(time.RFC3339Nano),
+	}).Info("relay: routed")
+	return e, true
+}
+
+// try runs the job on one engine.
+func (r *Relay) try(ctx context.Context, c *course, e ctrl.Engine) error {
+	e.Sent.Add(1)
+	defer e.Sent.Add(-1)
+	if e.Runner != nil {
+		return e.Runner.Submit(ctx, c.job, c.emit)
+	}
+	return r.forward(ctx, c, e)
+}
+
+// judge records a failed attempt and reports whether another may follow.
+func (r *Relay) judge(ctx context.Context, c *course, e ctrl.Engine, err error) bool {
+	c.last = err
+	c.skip = append(c.skip, e.Endpoint.Id)
+	if ctx.Err() != nil {
+		var refused *plank.RefusalError
+		c.began = c.began || !errors.As(err, &refused)
+		return false
+	}
+	var refused *plank.RefusalError
+	var caller *callerError
+	var lost *lostError
+	var wrong *engine.WrongModelError
+	switch {
+	case errors.As(err, &caller):
+		c.began = true
+		return false
+	case errors.As(err, &refused):
+		return isElsewhere(refused.Code) && r.budget.Retry()
+	case errors.As(err, &lost):
+		// The peer is gone, not the endpoint: nothing speaks against the job.
+		c.began = c.began || lost.sent
+		return r.budget.Retry()
+	case errors.As(err, &wrong):
+		c.began = true
+		return r.budget.Retry()
+	}
+	// The endpoint broke off. If the job is the cause it must not take others
+	// down with the next endpoint.
+	c.began = true
+	c.broken++
+	c.job.Alone = true
+	return c.broken < maxBroken && r.budget.Retry()
+}
+
+// isElsewhere reports whether another endpoint may serve what one refused.
+func isElsewhere(code plank.Code) bool {
+	switch code {
+	case plank.CodeWrongOwner, plank.CodeNoEndpoint, plank.CodeNoModel, plank.CodeLoadFailed:
+		return true
+	}
+	return false
+}
+
+// refusal is the answer after the last attempt.
+func (c *course) refusal(ctx context.Context) error {
+	var caller *callerError
+	if errors.As(c.last, &caller) {
+		return caller.err
+	}
+	ran := plank.NotRun
+	switch {
+	case c.job.Offset > 0:
+		ran = plank.DidRun
+	case c.began:
+		ran = plank.Unknown
+	}
+	out := &plank.RefusalError{Code: plank.CodeEndpoint, Ran: ran, RetryAfter: time.Second, Detail: "no endpoint served the request whole"}
+	var refused *plank.RefusalError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		out.Code, out.Detail = plank.CodePatience, "patience ended before the answer was whole"
+	case c.last == nil:
+		out.Code, out.Detail = plank.CodeNoEndpoint, "no endpoint for "+c.job.Model.String()+" can be reached"
+	case errors.As(c.last, &refused):
+		out.Code, out.Detail = refused.Code, refused.Detail
+	}
+	return out
+}
--- /dev/null
+++ b/internal/runner/watch.go
@@ -0,0 +1,178 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+)
+
+// This file defines how a runner follows its engine's health, restarts and
+// crashes.
+
+// maxSilent is after how many reports in a row without an answer the engine
+// counts as down.
+const maxSilent = 3
+
+// watch reads load reports until ctx ends.
+func (r *Runner) watch(ctx context.Context) {
+	silent := 0
+	for ctx.Err() == nil {
+		asked := r.deps.Clock.Now()
+		report, err := r.deps.Engine.Report(ctx)
+		if err != nil {
+			silent++
+			if silent == maxSilent {
+				r.setDown()
+			}
+		} else {
+			silent = 0
+			r.takeReport(report, asked)
+		}
+		pauseFor(ctx, reportEvery)
+	}
+}
+
+// setDown sends waiting requests elsewhere.
+func (r *Runner) setDown() {
+	r.mu.Lock()
+	changed := r.up
+	r.up = false
+	r.refuseWaiting(plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is down", r.opts.Endpoint))
+	for _, w := range r.running {
+		w.stop(errDown)
+	}
+	r.mu.Unlock()
+	if changed {
+		r.deps.Log.WithField("endpoint", r.opts.Endpoint).Warn("runner: endpoint is down")
+		r.deps.Changed()
+	}
+}
+
+// takeReport merges the engine's own view, which may be reportAge old.
+func (r *Runner) takeReport(report plank.EngineReport, asked time.Time) {
+	r.mu.Lock()
+	before := len(r.slots)
+	changed := !r.up
+	switch {
+	case r.boot == "":
+		r.adopt(report, asked)
+	case r.boot != report.Boot:
+		r.restarted(report)
+		changed = true
+	case asked.Sub(r.lastOrder) > reportAge && r.loading == (plank.Model{}):
+		r.adopt(report, asked)
+	}
+	r.boot = report.Boot
+	r.up = true
+	if report.Leaving && !r.leaving {
+		r.leaving = true
+		r.refuseWaiting(plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is leaving", r.opts.Endpoint))
+		changed = true
+	}
+	if report.Running == 0 && len(r.running) == 0 && !r.pinned.IsZero() && asked.Sub(r.lastOrder) > reportAge {
+		r.unpin(asked)
+	}
+	r.schedule()
+	changed = changed || before != len(r.slots)
+	r.mu.Unlock()
+	if changed {
+		r.deps.Changed()
+	}
+}
+
+// unpin ends the protection of an earlier owner's requests: the engine runs
+// nothing, and had time to say otherwise. The lock is held.
+func (r *Runner) unpin(asked time.Time) {
+	if asked.Before(r.pinned) {
+		r.pinned = asked
+	}
+}
+
+// adopt makes the slots agree with the engine's report. Models in use stay.
+// The lock is held.
+func (r *Runner) adopt(report plank.EngineReport, now time.Time) {
+	for _, m := range report.Resident {
+		if r.slots[m] == nil {
+			r.slots[m] = &slot{lastUse: now, loadedAt: now}
+		}
+	}
+	for m, s := range r.slots {
+		if s.inUse == 0 && !slices.Contains(report.Resident, m) {
+			delete(r.slots, m)
+			continue
+		}
+		if s.draining && s.inUse == 0 {
+			s.draining = false
+		}
+	}
+}
+
+// restarted handles an engine that came back without its adapters. The lock is
+// held.
+func (r *Runner) restarted(report plank.EngineReport) {
+	r.deps.Log.WithFields(logrus.Fields{"endpoint": r.opts.Endpoint, "boot": report.Boot}).Warn("runner: engine restarted")
+	clear(r.slots)
+	for _, m := range report.Resident {
+		r.slots[m] = &slot{lastUse: r.deps.Clock.Now(), loadedAt: r.deps.Clock.Now()}
+	}
+	if len(r.broken) > 0 {
+		prints := r.broken
+		r.broken = nil
+		go func() { r.deps.Poison.Crashed(prints) }()
+	}
+}
+
+// noteBroken records that a request ran as the connection broke, and finds out
+// soon whether the engine crashed.
+func (r *Runner) noteBroken(fp plank.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.broken, fp) {
+		r.broken = append(r.broken, fp)
+	}
+	if r.checking {
+		return
+	}
+	r.checking = true
+	go r.checkCrash(r.boot)
+}
+
+// The times of a crash check.
+const (
+	// gatherTime lets all requests that broke together be noted.
+	gatherTime = 100 * time.Millisecond
+	checkEvery = 100 * time.Millisecond
+	checkTime  = 10 * time.Second
+)
+
+// checkCrash asks the engine until it answers. The same boot means that only
+// the connection broke, and nobody is suspect.
+func (r *Runner) checkCrash(boot plank.BootID) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTime)
+	defer cancel()
+	defer func() {
+		r.mu.Lock()
+		r.checking = false
+		r.mu.Unlock()
+	}()
+	pauseFor(ctx, gatherTime)
+	for ctx.Err() == nil {
+		asked := r.deps.Clock.Now()
+		report, err := r.deps.Engine.Report(ctx)
+		if err != nil {
+			pauseFor(ctx, checkEvery)
+			continue
+		}
+		if report.Boot == boot {
+			r.mu.Lock()
+			r.broken = nil
+			r.mu.Unlock()
+			return
+		}
+		r.takeReport(report, asked)
+		return
+	}
+}
