Contain requests that crash endpoints with two crashes

Cause: TestPoisonIsContained failed with a bystander's answer cut (a stream that was hit by two crashes was given up) and 4 crashes before the verdict, because retries and repeats ran before it was known whether the endpoint had crashed. Change: the owner finds out whether the engine is alive before the break is reported; only a break without progress counts against a job.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -178,10 +178,7 @@
 func (b *Beater) Take(hb *wire.Heartbeat, sent time.Time) {
 	b.table.Take(hb, sent, b.clock.Now(), b.self.Boot)
 	for _, s := range hb.GetSuspects() {
-		b.poison.Merge(poison.Entry{
-			Print: plank.Fingerprint(s.GetPrint()), Crashes: int(s.GetCrashes()), Quarantined: s.GetQuarantined(),
-			Until: time.Unix(s.GetUntilUnix(), 0),
-		})
+		b.poison.Merge(poison.FromWire(s))
 	}
 }
 
@@ -207,7 +204,7 @@
 		}
 	}
 	for _, e := range b.poison.All(maxSuspects) {
-		hb.Suspects = append(hb.Suspects, &wire.Suspect{Print: string(e.Print), Crashes: uint32(e.Crashes), Quarantined: e.Quarantined, UntilUnix: e.Until.Unix()})
+		hb.Suspects = append(hb.Suspects, e.ToWire())
 	}
 	return hb
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,7 +149,7 @@
 		Loads: limit.Limit{Rate: plank.TokensPerSecond(d.cfg.Loads.PerSecond * loadCost), Burst: plank.Tokens(d.cfg.Loads.Burst * loadCost)},
 	})
 	d.feed = feed.New(d.store, d.control, d.hub, d.poison, d.entry("feed"))
-	d.relay = relay.New(d.cfg.VM, d.control, d.hub, d.policy.Router, d.clock, d.entry("relay"))
+	d.relay = relay.New(d.cfg.VM, d.control, d.hub, d.policy.Router, d.poison, d.clock, d.entry("relay"))
 	d.beater.Store(beat.New(d.self, d.cfg.Seeds, d.hub, d.table, d.book, d.poison, source{d}, d.clock))
 	go d.hub.Serve(d.peers, d)
 	d.keeper.Store(lease.New(d.self, d.store, d.table, d.clock, d.control, d.entry("lease")))
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -9,6 +9,8 @@
 	"knapweedplank.org/plank/internal/ctrl"
 	"knapweedplank.org/plank/internal/engine"
 	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/runner"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -44,6 +46,7 @@
 			return &lostError{sent: true, err: err}
 		}
 		if end := reply.GetEnd(); end != nil {
+			r.poison.Merge(poison.FromWire(end.GetSuspect()))
 			return decodeEnd(end, e)
 		}
 		if err := c.emit(plank.Chunk{Index: int(reply.GetIndex()), Data: reply.GetData()}); err != nil {
@@ -98,7 +101,7 @@
 func decodeEnd(end *wire.End, e ctrl.Engine) error {
 	switch {
 	case end.GetBroken():
-		return &plank.UnavailableError{Target: "endpoint " + string(e.Endpoint.Id), Op: "generate", Err: errors.New(end.GetDetail())}
+		return &runner.BrokenError{Endpoint: e.Endpoint.Id, Alive: !end.GetCrashed(), Err: errors.New(end.GetDetail())}
 	case end.GetCode() != "":
 		return &plank.RefusalError{Code: plank.Code(end.GetCode()), Ran: plank.Ran(end.GetRan()), Detail: end.GetDetail()}
 	}
@@ -121,7 +124,11 @@
 		return
 	}
 	// The caller's VM may be gone; there is nobody left to tell.
-	_ = s.Send(&wire.ForwardReply{End: encodeEnd(err)})
+	end := encodeEnd(err)
+	if known, ok := r.poison.Lookup(job.Print); ok {
+		end.Suspect = known.ToWire()
+	}
+	_ = s.Send(&wire.ForwardReply{End: end})
 }
 
 func (r *Relay) serve(ctx context.Context, id plank.EndpointID, job plank.Job, emit func(plank.Chunk) error) error {
@@ -138,11 +145,14 @@
 	var refused *plank.RefusalError
 	var broke *plank.UnavailableError
 	var wrong *engine.WrongModelError
+	var broken *runner.BrokenError
 	switch {
 	case err == nil:
 		return &wire.End{}
 	case errors.As(err, &refused):
 		return &wire.End{Code: string(refused.Code), Ran: string(refused.Ran), Detail: refused.Detail}
+	case errors.As(err, &broken):
+		return &wire.End{Broken: true, Crashed: !broken.Alive, Detail: broken.Error()}
 	case errors.As(err, &broke):
 		return &wire.End{Broken: true, Detail: broke.Error()}
 	case errors.As(err, &wrong):
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,16 +11,17 @@
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/ctrl"
-	"knapweedplank.org/plank/internal/engine"
 	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/runner"
 )
 
 // The rules of retries.
 const (
 	// maxAttempts bounds the endpoints that are tried for one job.
 	maxAttempts = 4
-	// maxBroken is after how many endpoints that broke off while they ran the
-	// job no other is put at risk.
+	// maxBroken is after how many endpoints that broke off before they gave a
+	// part of the answer no other is put at risk by the job.
 	maxBroken = 2
 	// waitPart is the part of the remaining patience that a job waits for an
 	// endpoint to become available.
@@ -34,6 +35,7 @@
 	control *ctrl.Control
 	hub     *peer.Hub
 	router  plank.Router
+	poison  *poison.Table
 	budget  *Budget
 	clock   plank.Clock
 	log     *logrus.Entry
@@ -41,9 +43,9 @@
 }
 
 // New returns a relay.
-func New(self plank.VMID, control *ctrl.Control, hub *peer.Hub, router plank.Router, clock plank.Clock, log *logrus.Entry) *Relay {
+func New(self plank.VMID, control *ctrl.Control, hub *peer.Hub, router plank.Router, poisons *poison.Table, clock plank.Clock, log *logrus.Entry) *Relay {
 	return &Relay{
-		self: self, control: control, hub: hub, router: router, budget: NewBudget(), clock: clock, log: log,
+		self: self, control: control, hub: hub, router: router, poison: poisons, budget: NewBudget(), clock: clock, log: log,
 		scratch: sync.Pool{New: func() any { return new(scratch) }},
 	}
 }
@@ -83,6 +85,9 @@
 	}
 	giveUp := r.clock.Now().Add(job.Deadline.Sub(r.clock.Now()) / waitPart)
 	for attempt := 0; ; {
+		if known, _ := r.poison.Lookup(job.Print); known.Quarantined {
+			return c.quarantined()
+		}
 		e, ok := r.pick(c)
 		if !ok {
 			if len(c.skip) > 0 {
@@ -94,12 +99,13 @@
 			}
 			continue
 		}
+		offset := c.job.Offset
 		err := r.try(ctx, c, e)
 		if err == nil {
 			return nil
 		}
 		attempt++
-		if again := r.judge(ctx, c, e, err); !again || attempt >= maxAttempts {
+		if again := r.judge(ctx, c, e, err, c.job.Offset > offset); !again || attempt >= maxAttempts {
 			return c.refusal(ctx)
 		}
 	}
@@ -154,7 +160,8 @@
 }
 
 // judge records a failed attempt and reports whether another may follow.
-func (r *Relay) judge(ctx context.Context, c *course, e ctrl.Engine, err error) bool {
+// progress tells that the attempt gave a part of the answer.
+func (r *Relay) judge(ctx context.Context, c *course, e ctrl.Engine, err error, progress bool) bool {
 	c.last = err
 	c.skip = append(c.skip, e.Endpoint.Id)
 	if ctx.Err() != nil {
@@ -165,7 +172,7 @@
 	var refused *plank.RefusalError
 	var caller *callerError
 	var lost *lostError
-	var wrong *engine.WrongModelError
+	var broken *runner.BrokenError
 	switch {
 	case errors.As(err, &caller):
 		c.began = true
@@ -176,15 +183,15 @@
 		// The peer is gone, not the endpoint: nothing speaks against the job.
 		c.began = c.began || lost.sent
 		return r.budget.Retry()
-	case errors.As(err, &wrong):
-		c.began = true
-		return r.budget.Retry()
+	case errors.As(err, &broken) && !broken.Alive:
+		// If the job is the cause it must not take others down with the next
+		// endpoint.
+		c.job.Alone = true
+		if !progress {
+			c.broken++
+		}
 	}
-	// The endpoint broke off. If the job is the cause it must not take others
-	// down with the next endpoint.
 	c.began = true
-	c.broken++
-	c.job.Alone = true
 	return c.broken < maxBroken && r.budget.Retry()
 }
 
@@ -197,6 +204,15 @@
 	return false
 }
 
+// quarantined is the answer to a request that crashed endpoints.
+func (c *course) quarantined() error {
+	out := plank.Refuse(plank.CodeQuarantined, "this request crashed endpoints and is not run again")
+	if c.began {
+		out.Ran = plank.DidRun
+	}
+	return out
+}
+
 // refusal is the answer after the last attempt.
 func (c *course) refusal(ctx context.Context) error {
 	var caller *callerError
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 	closing   bool // this VM gives the endpoint up
 	lastOrder time.Time
 	broken    []plank.Fingerprint // ran as the connection broke
-	checking  bool                // a crash check is under way
+	check     *crashCheck         // under way, or nil
 	idle      chan struct{}       // closed once closing and nothing runs
 
 	wake   chan struct{} // tells the loader of a want
@@ -149,9 +150,28 @@
 	return r
 }
 
+// A BrokenError reports that the connection to an engine broke while it ran a
+// job.
+type BrokenError struct {
+	Endpoint plank.EndpointID
+	// Alive is set when the engine goes on, so that it was not the job that
+	// broke it.
+	Alive bool
+	Err   error
+}
+
+// Error returns the message.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("endpoint %s broke off (alive %t): %v", e.Endpoint, e.Alive, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
 // Submit runs the job and hands its chunks to emit. It returns a
-// *plank.RefusalError with NotRun if the engine did not begin it here, and a
-// *plank.UnavailableError if the engine broke off.
+// *plank.RefusalError with NotRun if the engine did not begin it here, a
+// *BrokenError if the engine broke off, and a *plank.UnavailableError if it
+// no longer answers.
 func (r *Runner) Submit(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) error {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
@@ -182,7 +202,7 @@
 	case err != nil && errors.Is(context.Cause(ctx), errDown):
 		err = &plank.UnavailableError{Target: "endpoint " + string(r.opts.Endpoint), Op: "generate", Err: errDown}
 	case errors.As(err, &broke) && ctx.Err() == nil:
-		r.noteBroken(w.job.Print)
+		err = &BrokenError{Endpoint: r.opts.Endpoint, Alive: r.noteBroken(w.job.Print).wait(), Err: err}
 	}
 	var refused *plank.RefusalError
 	if errors.As(err, &refused) && refused.Code == plank.CodeNoModel {
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -118,61 +118,78 @@
 	for _, m := range report.Resident {
 		r.slots[m] = &slot{lastUse: r.deps.Clock.Now(), loadedAt: r.deps.Clock.Now()}
 	}
-	if len(r.broken) > 0 {
-		prints := r.broken
-		r.broken = nil
-		go func() { r.deps.Poison.Crashed(prints) }()
-	}
 }
 
-// noteBroken records that a request ran as the connection broke, and finds out
-// soon whether the engine crashed.
-func (r *Runner) noteBroken(fp plank.Fingerprint) {
+// A crashCheck finds out whether an engine crashed.
+type crashCheck struct {
+	alive bool // valid once done is closed
+	done  chan struct{}
+}
+
+// wait returns whether the engine is alive.
+func (c *crashCheck) wait() bool {
+	<-c.done
+	return c.alive
+}
+
+// noteBroken records that a request ran as the connection broke, and returns
+// the check on whether the engine crashed.
+func (r *Runner) noteBroken(fp plank.Fingerprint) *crashCheck {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !slices.Contains(r.broken, fp) {
 		r.broken = append(r.broken, fp)
 	}
-	if r.checking {
-		return
+	if r.check == nil {
+		c := &crashCheck{done: make(chan struct{})}
+		boot := r.boot
+		r.check = c
+		go func() { r.runCheck(c, boot) }()
 	}
-	r.checking = true
-	go r.checkCrash(r.boot)
+	return r.check
 }
 
 // The times of a crash check.
 const (
 	// gatherTime lets all requests that broke together be noted.
 	gatherTime = 100 * time.Millisecond
-	checkEvery = 100 * time.Millisecond
-	checkTime  = 10 * time.Second
+	checkEvery = 50 * time.Millisecond
+	// checkTime is how long an engine that does not answer is asked before it
+	// counts as crashed.
+	checkTime = 2 * time.Second
 )
 
-// checkCrash asks the engine until it answers. The same boot means that only
-// the connection broke, and nobody is suspect.
-func (r *Runner) checkCrash(boot plank.BootID) {
+// runCheck asks the engine until it answers. The same boot means that only the
+// connection broke, and nobody is suspect.
+func (r *Runner) runCheck(c *crashCheck, boot plank.BootID) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTime)
 	defer cancel()
-	defer func() {
-		r.mu.Lock()
-		r.checking = false
-		r.mu.Unlock()
-	}()
 	pauseFor(ctx, gatherTime)
 	for ctx.Err() == nil {
 		asked := r.deps.Clock.Now()
 		report, err := r.deps.Engine.Report(ctx)
-		if err != nil {
-			pauseFor(ctx, checkEvery)
-			continue
-		}
-		if report.Boot == boot {
-			r.mu.Lock()
-			r.broken = nil
-			r.mu.Unlock()
+		if err == nil {
+			c.alive = report.Boot == boot
+			r.endCheck(c, report, asked)
 			return
 		}
+		pauseFor(ctx, checkEvery)
+	}
+	r.endCheck(c, plank.EngineReport{}, time.Time{})
+}
+
+// endCheck passes the verdict on. An empty report stands for no answer.
+func (r *Runner) endCheck(c *crashCheck, report plank.EngineReport, asked time.Time) {
+	if !c.alive && report.Boot != "" {
 		r.takeReport(report, asked)
-		return
 	}
+	r.mu.Lock()
+	prints := r.broken
+	r.broken = nil
+	r.check = nil
+	r.mu.Unlock()
+	if !c.alive && len(prints) > 0 {
+		r.deps.Poison.Crashed(prints)
+	}
+	close(c.done)
 }
