--- /dev/null
+++ b/test/drain_test.go
@@ -0,0 +1,98 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank/internal/ctrl"
+	"knapweedplank.org/plank/internal/stand/model"
+	"knapweedplank.org/plank/internal/store"
+)
+
+// leaveLimit is how long a leaving endpoint may still get new work.
+const leaveLimit = 4 * time.Second
+
+// TestPlannedStopCutsNothing stops daemons by SIGTERM under load, a whole domain
+// of them, while callers go on with the others. No answer is cut.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	s := small()
+	s.daemons = 2
+	f := newFleet(t, s)
+	stays := []*vm{f.daemons[0], f.daemons[4]}
+	tr := f.startTraffic(10, 23, stays...)
+	long := make(chan result, 2)
+	for _, v := range f.daemons[2:4] {
+		go func() { long <- v.complete(context.Background(), keyOne, "ad-3@1", "long", 500) }()
+	}
+	time.Sleep(time.Second)
+	for _, v := range f.daemons[2:4] {
+		v.proc.signal(syscall.SIGTERM)
+	}
+	for range 2 {
+		r := <-long
+		assert.Assert(t, r.whole, "a stream on a stopping daemon was cut: %+v", r)
+	}
+	for _, v := range f.daemons[2:4] {
+		code, ok := v.proc.exited(20 * time.Second)
+		assert.Assert(t, ok, "%s did not stop", v.name)
+		assert.Equal(t, code, 0)
+	}
+	time.Sleep(time.Second)
+	share := tr.end()
+	t.Logf("%d requests, share whole %.3f", len(tr.results), share)
+	tr.checkWhole()
+	assert.Equal(t, share, 1.0)
+	f.checkEngines()
+}
+
+// TestLeavingEndpoint tells of leaving engines in both ways, by the engine's own
+// report and by the platform's list. New work stops soon and no answer is cut.
+func TestLeavingEndpoint(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, small())
+	tr := f.startTraffic(10, 29, f.daemons...)
+	time.Sleep(time.Second)
+	post(t, f.engines[0].addr, "/test/leave", nil)
+	f.listLeaving(f.engines[2].id)
+	told := time.Now()
+	time.Sleep(leaveLimit)
+	before := []model.Stats{f.stats(0), f.stats(2)}
+	time.Sleep(2 * time.Second)
+	for i, n := range []int{0, 2} {
+		after := f.stats(n)
+		assert.Equal(t, after.Completed+after.Cancelled, before[i].Completed+before[i].Cancelled,
+			"%s got work %v after it was leaving", f.engines[n].id, time.Since(told))
+	}
+	share := tr.end()
+	tr.checkWhole()
+	assert.Equal(t, share, 1.0)
+}
+
+func (f *fleet) stats(engine int) model.Stats {
+	return getJSON[model.Stats](f.t, f.engines[engine].addr, "/test/stats")
+}
+
+// listLeaving writes the platform's list of VMs, with some of them leaving.
+func (f *fleet) listLeaving(leaving ...string) {
+	f.t.Helper()
+	var l ctrl.PlatformList
+	for _, v := range f.daemons {
+		l.VMs = append(l.VMs, ctrl.PlatformVM{Name: v.name})
+	}
+	for _, id := range leaving {
+		l.VMs = append(l.VMs, ctrl.PlatformVM{Name: id, Leaving: true})
+	}
+	value, err := json.Marshal(l)
+	assert.NilError(f.t, err)
+	ctx := context.Background()
+	s := store.New(f.platform)
+	o, err := s.Get(ctx, ctrl.ListKey)
+	assert.NilError(f.t, err)
+	_, err = s.Put(ctx, ctrl.ListKey, value, o.Version)
+	assert.NilError(f.t, err)
+}
