--- a/internal/stand/model/options.go
+++ b/internal/stand/model/options.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// Faults are brought about on demand.
+type Faults struct {
+	WrongModel int // the next n answers name another model
+	Crossed    int // the next n answers hold chunks twice and out of date
+	SlowLoads  int // the next n loads take slowLoad longer
+	FailLoads  int // the next n loads fail
+}
+
+// slowLoad is the time added to a slow load.
+const slowLoad = 2 * time.Second
+
 // Stats is what the engine counts since its process started, over restarts.
 type Stats struct {
 	Steps, StepRows, Tokens int
--- a/internal/stand/model/server.go
+++ b/internal/stand/model/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,6 +32,7 @@
 	waiting  []*row     // for a place in the batch
 	prefixes map[uint64]bool
 	leaving  bool
+	faults   Faults
 	stats    Stats
 	report   plank.EngineReport // as of reportAt
 	reportAt time.Time
@@ -86,6 +88,12 @@
 			stats.Resident = append(stats.Resident, m)
 		}
 		reply(w, stats)
+	case "/test/faults":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err := json.NewDecoder(r.Body).Decode(&s.faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
 	case "/test/leave":
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -147,8 +155,15 @@
 	}
 	s.loading[m] = true
 	boot := s.boot
+	slow, fail := take(&s.faults.SlowLoads), take(&s.faults.FailLoads)
 	s.mu.Unlock()
+	if slow {
+		time.Sleep(slowLoad)
+	}
 	err := s.fetch(m)
+	if fail {
+		err = errors.New("load failed on demand")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if boot != s.boot {
@@ -238,14 +253,24 @@
 	flusher, _ := w.(http.Flusher)
 	defer s.leave(row)
 	chat := r.URL.Path == "/v1/chat/completions"
+	s.mu.Lock()
+	wrong, crossed := take(&s.faults.WrongModel), take(&s.faults.Crossed)
+	s.mu.Unlock()
+	named := m
+	if wrong {
+		named.Adapter += "-other"
+	}
 	for {
 		select {
 		case i, more := <-row.out:
 			if !more {
 				return
 			}
-			chunk := openai.TokenChunk(r.Header.Get(openai.HeaderRequest), m, chat, Word(m, prompt, i), i == total-1)
+			chunk := openai.TokenChunk(r.Header.Get(openai.HeaderRequest), named, chat, Word(m, prompt, i), i == total-1)
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, chunk)
+			if crossed {
+				fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i/2, chunk)
+			}
 			if i == total-1 {
 				fmt.Fprint(w, "data: [DONE]\n\n")
 			}
@@ -256,6 +281,15 @@
 	}
 }
 
+// take counts a fault down and reports whether it is due.
+func take(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
 // admit queues the row for the batch; a model that is not resident is refused.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, row *row) bool {
 	s.mu.Lock()
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -88,7 +88,8 @@
 }
 
 // TestAnswersWholeAndRight runs many adapters through few slots while engines
-// crash and their connections break. Every answer that began comes whole and
+// crash, their connections break, loads fail or are slow, and answers come from
+// another adapter, twice or crossed. Every answer that began comes whole and
 // from the adapter that it named, and no adapter is evicted while it serves.
 func TestAnswersWholeAndRight(t *testing.T) {
 	t.Parallel()
@@ -99,6 +100,7 @@
 		f.engines[i].proxy.Break()
 		time.Sleep(700 * time.Millisecond)
 		post(t, f.engines[(i+3)%len(f.engines)].addr, "/test/crash", nil)
+		post(t, f.engines[(i+1)%len(f.engines)].addr, "/test/faults", model.Faults{WrongModel: 3, Crossed: 3, SlowLoads: 1, FailLoads: 2})
 		time.Sleep(1500 * time.Millisecond)
 	}
 	share := tr.end()
