--- a/cmd/knapweedplank/serve.go
+++ b/cmd/knapweedplank/serve.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(cfg, logs.New(cfg.Logs, os.Stderr))
+	d, err := daemon.New(cfg, logs.New(cfg.Logs, os.Stderr), daemon.Hooks{})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,9 +38,16 @@
 	"knapweedplank.org/plank/pkg/notes"
 )
 
+// Hooks let a load tool in the same process observe a daemon.
+type Hooks struct {
+	// Waited, if not nil, is told how long each dispatched request waited.
+	Waited func(runner.Wait)
+}
+
 // A Daemon is one running daemon.
 type Daemon struct {
 	cfg    config.Config
+	hooks  Hooks
 	log    *logrus.Logger
 	clock  plank.Clock
 	self   lease.Identity
@@ -70,9 +77,9 @@
 
 // New listens on the settings' addresses and starts a daemon. An address that
 // cannot be listened on is a *config.Error.
-func New(cfg config.Config, log *logrus.Logger) (*Daemon, error) {
+func New(cfg config.Config, log *logrus.Logger, hooks Hooks) (*Daemon, error) {
 	d := &Daemon{
-		cfg: cfg, log: log, clock: plank.SystemClock{}, policy: policy.New(cfg.Policies),
+		cfg: cfg, log: log, hooks: hooks, clock: plank.SystemClock{}, policy: policy.New(cfg.Policies),
 		store: store.New(cfg.Platform), table: member.New(cfg.VM), keys: keys.New(), metrics: metrics.NewRegistry(),
 		engines: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
 	}
@@ -197,11 +204,26 @@
 	}, runner.Deps{
 		Engine: engine.New(e.Id, e.Address, d.engines), Clock: d.clock, Budget: loadBudget{d}, Poison: d.poison,
 		Log: d.entry("runner"), Valid: d.valid,
-		Copies:  func(m plank.Model) int { return d.control.Snapshot().Copies(m) },
-		Changed: func() {},
+		Copies: func(m plank.Model) int { return d.control.Snapshot().Copies(m) },
+		Waited: d.waited,
 	}, term, pinned)
 }
 
+// waited counts the wait of a dispatched request.
+func (d *Daemon) waited(w runner.Wait) {
+	if w.Resident {
+		metrics.GetOrRegisterTimer("Runner.ResidentWait", d.metrics).Update(w.Queue)
+	} else {
+		metrics.GetOrRegisterTimer("Runner.LoadWait", d.metrics).Update(w.Load)
+	}
+	if d.hooks.Waited != nil {
+		d.hooks.Waited(w)
+	}
+}
+
+// PlatformCalls returns the number of calls made to the platform.
+func (d *Daemon) PlatformCalls() uint64 { return d.store.Calls() }
+
 // loadCost is the cost of one adapter load in the budget of loads.
 const loadCost = 1000
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -60,7 +60,7 @@
 	cfg := config.Default()
 	cfg.VM, cfg.Domain, cfg.Platform, cfg.PlainPeers = "dev-1", sampleDomain, platform, true
 	cfg.Callers, cfg.Peers, cfg.Admin = addr, "127.0.0.1:0", "127.0.0.1:0"
-	d, err := daemon.New(cfg, log)
+	d, err := daemon.New(cfg, log, daemon.Hooks{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -223,13 +223,17 @@
 	if ok {
 		r.slots[m] = &slot{lastUse: now, loadedAt: now}
 		delete(r.failures, m)
+		for _, w := range r.waiting {
+			if w.job.Model == m && w.loaded.IsZero() {
+				w.loaded = now
+			}
+		}
 	} else {
 		r.failLoad(m, err)
 	}
 	r.schedule()
 	r.checkIdle()
 	r.mu.Unlock()
-	r.deps.Changed()
 }
 
 // failLoad counts a failed load and sends the requests that wait for it
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -43,8 +43,18 @@
 	Valid func() time.Time
 	// Copies returns how many endpoints hold a model, as known.
 	Copies func(plank.Model) int
-	// Changed is called after the set of models or the health changed.
-	Changed func()
+	// Waited, if not nil, is told how long each dispatched request waited.
+	Waited func(Wait)
+}
+
+// A Wait is how long a request waited on an endpoint before its dispatch.
+type Wait struct {
+	// Resident is set when the model was loaded as the request came.
+	Resident bool
+	// Load is the time until the model was loaded, 0 for a resident one.
+	Load time.Duration
+	// Queue is the rest of the time until the dispatch.
+	Queue time.Duration
 }
 
 // The times of a runner.
@@ -120,6 +130,8 @@
 	handle  uint64
 	job     plank.Job
 	arrived time.Time
+	// loaded is when the model was first seen loaded; zero before.
+	loaded  time.Time
 	granted chan error // holds nil once the request may run
 	// stop ends the running request when the endpoint is found to be down.
 	stop context.CancelCauseFunc
@@ -227,6 +239,9 @@
 	r.next++
 	w := &waiter{handle: r.next, job: job, arrived: r.deps.Clock.Now(), granted: make(chan error, 1), stop: stop}
 	r.waiting[w.handle] = w
+	if r.slots[job.Model] != nil {
+		w.loaded = w.arrived
+	}
 	r.queue.Push(w.handle, plank.QueueItem{
 		Workspace: job.Workspace, Weight: job.Weight, Cost: job.Cost, Arrived: w.arrived, Deadline: job.Deadline,
 	})
@@ -284,7 +299,6 @@
 	r.mu.Lock()
 	delete(r.slots, m)
 	r.mu.Unlock()
-	r.deps.Changed()
 }
 
 // SetLeaving stops new work for an endpoint that is going away.
--- a/internal/runner/sched.go
+++ b/internal/runner/sched.go
@@ -42,12 +42,29 @@
 	s.uses = aged(s, now) + 1
 	s.lastUse = now
 	w.granted <- nil
+	r.observe(w, now)
 	r.deps.Log.WithFields(logrus.Fields{
 		"request": w.job.ID, "workspace": w.job.Workspace, "model": w.job.Model.String(), "endpoint": r.opts.Endpoint,
 		"reason": r.queue.Name(), "waited": now.Sub(w.arrived).String(), "deadline": w.job.Deadline.Format(time.RFC3339Nano),
 	}).Info("runner: dispatched")
 }
 
+// observe reports how long a request waited.
+func (r *Runner) observe(w *waiter, now time.Time) {
+	if r.deps.Waited == nil {
+		return
+	}
+	wait := Wait{Resident: w.loaded.Equal(w.arrived), Queue: now.Sub(w.arrived)}
+	if !wait.Resident {
+		if w.loaded.IsZero() {
+			w.loaded = now
+		}
+		wait.Load = w.loaded.Sub(w.arrived)
+		wait.Queue -= wait.Load
+	}
+	r.deps.Waited(wait)
+}
+
 // aged returns the count of uses with past uses discounted.
 func aged(s *slot, now time.Time) float64 {
 	return s.uses * math.Exp2(-float64(now.Sub(s.lastUse))/float64(place.HalfLife))
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -47,21 +47,17 @@
 	r.mu.Unlock()
 	if changed {
 		r.deps.Log.WithField("endpoint", r.opts.Endpoint).Warn("runner: endpoint is down")
-		r.deps.Changed()
 	}
 }
 
 // takeReport merges the engine's own view, which may be reportAge old.
 func (r *Runner) takeReport(report plank.EngineReport, asked time.Time) {
 	r.mu.Lock()
-	before := len(r.slots)
-	changed := !r.up
 	switch {
 	case r.boot == "":
 		r.adopt(report, asked)
 	case r.boot != report.Boot:
 		r.restarted(report)
-		changed = true
 	case asked.Sub(r.lastOrder) > reportAge && r.loading == (plank.Model{}):
 		r.adopt(report, asked)
 	}
@@ -70,17 +66,12 @@
 	if report.Leaving && !r.leaving {
 		r.leaving = true
 		r.refuseWaiting(plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is leaving", r.opts.Endpoint))
-		changed = true
 	}
 	if report.Running == 0 && len(r.running) == 0 && !r.pinned.IsZero() && asked.Sub(r.lastOrder) > reportAge {
 		r.unpin(asked)
 	}
 	r.schedule()
-	changed = changed || before != len(r.slots)
 	r.mu.Unlock()
-	if changed {
-		r.deps.Changed()
-	}
 }
 
 // unpin ends the protection of an earlier owner's requests: the engine runs
--- a/internal/stand/model/server.go
+++ b/internal/stand/model/server.go
@@ -459,3 +459,10 @@
 		}
 	}
 }
+
+// Stats returns the engine's counts.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
