Carry on answers that began regardless of the retry budget; property tests

Cause: TestAnswersWholeAndRight, once its faults reached the callers (wrong text, crossed chunks), saw 3 streams cut: the retry budget was empty and a stream that had begun was given up. Change: the budget bounds only requests of which the caller has nothing yet.

--- /dev/null
+++ b/internal/claim/record_test.go
@@ -0,0 +1,110 @@
+package claim_test
+
+import (
+	"fmt"
+	"testing"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/claim"
+	"pgregory.net/rapid"
+)
+
+// TestRecordInvariants applies random changes, some of them based on records
+// that are out of date and so refused, and checks after each: the shares never
+// exceed the domain's, nobody's share rises but by its own Take, terms never
+// fall, and a changed owner always has a new term.
+func TestRecordInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := claim.Record{Domain: "a"}
+		r, _ = r.SetShare(333_333)
+		endpoints := []plank.EndpointID{"e1", "e2", "e3", "e4", "e5"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			vm := plank.VMID(fmt.Sprintf("vm-%d", rapid.IntRange(0, 4).Draw(t, "vm")))
+			before := r
+			op := rapid.IntRange(0, 6).Draw(t, "op")
+			switch op {
+			case 0:
+				boot := plank.BootID(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "boot")))
+				r, _ = r.Join(claim.Member{VM: vm, Boot: boot, Address: "x"})
+			case 1:
+				r, _ = r.Remove(vm)
+			case 2:
+				r, _ = r.Give(vm, plank.PPM(rapid.IntRange(0, 400_000).Draw(t, "ppm")))
+			case 3:
+				r, _ = r.Take(vm)
+			case 4:
+				r, _ = r.Own(vm, endpoints[:rapid.IntRange(0, 5).Draw(t, "n")])
+			case 5:
+				if e, to, ok := r.Surplus(vm); ok {
+					r, _ = r.HandOver(vm, e, to)
+				}
+			case 6:
+				r, _ = r.SetShare(999_999)
+			}
+			checkChange(t, before, r, op == 3, vm)
+		}
+	})
+}
+
+func checkChange(t *rapid.T, before, after claim.Record, isTake bool, vm plank.VMID) {
+	sum := plank.PPM(0)
+	for _, m := range after.Members {
+		sum += m.Share
+		old, _ := before.Member(m.VM)
+		if m.Share < 0 || m.Share > old.Share && !(isTake && m.VM == vm) {
+			t.Fatalf("share of %s went from %d to %d", m.VM, old.Share, m.Share)
+		}
+	}
+	if sum > after.Share || after.Share != 333_333 {
+		t.Fatalf("shares add up to %d of %d", sum, after.Share)
+	}
+	for _, c := range before.Claims {
+		now, ok := after.Owner(c.Endpoint)
+		if !ok || now.Term < c.Term {
+			t.Fatalf("term of %s fell: %+v to %+v", c.Endpoint, c, now)
+		}
+		if now.VM != c.VM && now.VM != "" && now.Term == c.Term {
+			t.Fatalf("new owner of %s has the old term: %+v to %+v", c.Endpoint, c, now)
+		}
+	}
+}
+
+// TestMembersReachFairParts lets members act in turn until nothing changes: all
+// shares reach the target and no member owns two endpoints more than another.
+func TestMembersReachFairParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := claim.Record{Domain: "a"}
+		r, _ = r.SetShare(900_000)
+		var endpoints []plank.EndpointID
+		for i := range rapid.IntRange(1, 12).Draw(t, "endpoints") {
+			endpoints = append(endpoints, plank.EndpointID(fmt.Sprintf("e%02d", i)))
+		}
+		n := rapid.IntRange(1, 6).Draw(t, "members")
+		for i := range n {
+			vm := plank.VMID(fmt.Sprintf("vm-%d", i))
+			r, _ = r.Join(claim.Member{VM: vm, Boot: "1"})
+			for range 40 {
+				for _, m := range r.Members {
+					r, _ = r.Give(m.VM, r.Excess(m.VM))
+					r, _ = r.Take(m.VM)
+					r, _ = r.Own(m.VM, endpoints)
+					if e, to, ok := r.Surplus(m.VM); ok {
+						r, _ = r.HandOver(m.VM, e, to)
+					}
+				}
+			}
+		}
+		counts := make(map[plank.VMID]int)
+		for _, c := range r.Claims {
+			counts[c.VM]++
+		}
+		for _, m := range r.Members {
+			if m.Share != r.Target() {
+				t.Fatalf("%s holds %d, target %d", m.VM, m.Share, r.Target())
+			}
+			if c := counts[m.VM]; c < len(endpoints)/n || c > (len(endpoints)+n-1)/n+1 {
+				t.Fatalf("%s owns %d of %d over %d", m.VM, c, len(endpoints), n)
+			}
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,11 +178,11 @@
 		c.began = true
 		return false
 	case errors.As(err, &refused):
-		return isElsewhere(refused.Code) && r.budget.Retry()
+		return isElsewhere(refused.Code) && r.mayRetry(c)
 	case errors.As(err, &lost):
 		// The peer is gone, not the endpoint: nothing speaks against the job.
 		c.began = c.began || lost.sent
-		return r.budget.Retry()
+		return r.mayRetry(c)
 	case errors.As(err, &broken) && !broken.Alive:
 		// If the job is the cause it must not take others down with the next
 		// endpoint.
@@ -192,7 +192,13 @@
 		}
 	}
 	c.began = true
-	return c.broken < maxBroken && r.budget.Retry()
+	return c.broken < maxBroken && r.mayRetry(c)
+}
+
+// mayRetry takes a retry from the budget. An answer of which the caller has a
+// part is carried on regardless: it is owed whole.
+func (r *Relay) mayRetry(c *course) bool {
+	return r.budget.Retry() || c.job.Offset > 0
 }
 
 // isElsewhere reports whether another endpoint may serve what one refused.
--- a/internal/stand/model/server.go
+++ b/internal/stand/model/server.go
@@ -266,7 +266,7 @@
 			if !more {
 				return
 			}
-			chunk := openai.TokenChunk(r.Header.Get(openai.HeaderRequest), named, chat, Word(m, prompt, i), i == total-1)
+			chunk := openai.TokenChunk(r.Header.Get(openai.HeaderRequest), named, chat, Word(named, prompt, i), i == total-1)
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, chunk)
 			if crossed {
 				fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i/2, chunk)
--- /dev/null
+++ b/pkg/notes/notes_test.go
@@ -0,0 +1,120 @@
+package notes_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/store/memory"
+	"knapweedplank.org/plank/pkg/notes"
+)
+
+const fine = `{
+  // A note with comments.
+  "Id": "n1",
+  "Workspaces": {"Set": [{"Id": "w", "Rate": 10, "Burst": 20}]},
+  "Patience": {"Set": [{"Workspace": "w", "Zone": "America/Vancouver", "Hours": [{"From": 0, "Seconds": 60}, {"From": 9, "Seconds": 5}]}]},
+  "Adapters": {"Set": [{"Id": "a", "Version": "1", "Base": "b"}]},
+}`
+
+func TestParseNamesEveryFault(t *testing.T) {
+	_, err := notes.Parse([]byte(`{"Id": "", "Workspaces": {"Set": [{"Id": "w", "Rate": 0, "Burst": 1}, {"Id": "w", "Rate": 1, "Burst": 1}]},
+		"Endpoints": {"Set": [{"Id": "e", "Kind": "toaster", "Address": "x", "Domain": "d"}]}}`))
+	var faulty *notes.FaultyError
+	assert.Assert(t, errors.As(err, &faulty))
+	assert.Equal(t, len(faulty.Faults), 5, "%v", err)
+}
+
+func TestPatienceByHour(t *testing.T) {
+	n, err := notes.Parse([]byte(fine))
+	assert.NilError(t, err)
+	c := (&notes.Catalog{}).Apply(n)
+	zone, err := time.LoadLocation("America/Vancouver")
+	assert.NilError(t, err)
+	cases := []struct {
+		hour int
+		want time.Duration
+	}{{0, time.Minute}, {8, time.Minute}, {9, 5 * time.Second}, {23, 5 * time.Second}}
+	for _, tc := range cases {
+		at := time.Date(2026, 12, 4, tc.hour, 30, 0, 0, zone)
+		assert.Equal(t, c.PatienceAt("w", at), tc.want, "hour %d", tc.hour)
+	}
+	assert.Equal(t, c.PatienceAt("other", time.Now()), notes.DefaultPatience)
+}
+
+// TestAppendSettlesLostAnswers loses the answer of the write that accepts a note:
+// appending the note again finds it, and it stands in the chain once.
+func TestAppendSettlesLostAnswers(t *testing.T) {
+	s := memory.New()
+	n, err := notes.Parse([]byte(fine))
+	assert.NilError(t, err)
+	calls := 0
+	s.Fate = func() memory.Fate {
+		calls++
+		if calls == 2 {
+			return memory.LostAnswer
+		}
+		return memory.Done
+	}
+	ctx := context.Background()
+	_, err = notes.NewChain(s).Append(ctx, n, "t")
+	var away *plank.UnavailableError
+	assert.Assert(t, errors.As(err, &away))
+	number, err := notes.NewChain(s).Append(ctx, n, "t")
+	assert.NilError(t, err)
+	assert.Equal(t, number, plank.NoteNumber(1))
+	objects, _, err := s.List(ctx, notes.Prefix, "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects), 1)
+}
+
+// TestDisjointNotesBothGoIn applies two notes built on the same base.
+func TestDisjointNotesBothGoIn(t *testing.T) {
+	s := memory.New()
+	ctx := context.Background()
+	adapter := func(id plank.NoteID, name plank.AdapterID) *notes.Note {
+		n := &notes.Note{Id: id}
+		n.Adapters.Set = []notes.Adapter{{Id: name, Version: "1", Base: "b"}}
+		return n
+	}
+	chain := notes.NewChain(s)
+	_, err := chain.Append(ctx, adapter("one", "a"), "1")
+	assert.NilError(t, err)
+	number, err := chain.Append(ctx, adapter("two", "b"), "2")
+	assert.NilError(t, err)
+	assert.Equal(t, number, plank.NoteNumber(2))
+	_, err = chain.Append(ctx, adapter("three", "a"), "3")
+	var changed *notes.ChangedError
+	assert.Assert(t, errors.As(err, &changed))
+	assert.Equal(t, changed.Winner, plank.NoteID("one"))
+}
+
+// FuzzParse checks that whatever is accepted survives being stored.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(fine))
+	f.Add([]byte(`{"Id": "x", "Routes": {"Set": [{"Path": "/a/", "Service": "s", "Open": true, "Workspace": "w"}]}}`))
+	f.Add([]byte(`{"Id": "x", "Keys": {"Withdraw": ["k"]}, /* c */}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		n, err := notes.Parse(text)
+		if err != nil {
+			var faulty *notes.FaultyError
+			if !errors.As(err, &faulty) || len(faulty.Faults) == 0 {
+				t.Fatalf("error without faults: %v", err)
+			}
+			return
+		}
+		stored, err := json.Marshal(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := notes.Parse(stored); err != nil && len(stored) <= notes.MaxNoteBytes {
+			t.Fatalf("stored form is refused: %v", err)
+		}
+		(&notes.Catalog{}).Check(n)
+	})
+}
