--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 	"knapweedplank.org/plank/internal/stand/model"
 	"knapweedplank.org/plank/internal/stand/objapi"
 	"knapweedplank.org/plank/internal/stand/plain"
@@ -80,6 +82,7 @@
 	CrashOn      string        `help:"A prompt with this text crashes the engine."`
 	RestartAfter time.Duration `default:"500ms" help:"Time from a crash until the engine is back."`
 	ReportLag    time.Duration `default:"200ms" help:"Age of the load report."`
+	Count        int           `default:"1" help:"Engines in this process, each with an address of its own."`
 }
 
 // Run serves a model engine.
@@ -87,11 +90,21 @@
 	opts := model.DefaultOptions()
 	opts.Slots, opts.Batch, opts.Step, opts.Fencing = c.Slots, c.Batch, c.Step, c.Fencing
 	opts.Weights, opts.CrashOn, opts.RestartAfter, opts.ReportLag = c.Weights, c.CrashOn, c.RestartAfter, c.ReportLag
-	ln, err := c.listen()
-	if err != nil {
-		return err
+	listeners := make([]net.Listener, c.Count)
+	addrs := make([]string, c.Count)
+	for i := range listeners {
+		ln, err := net.Listen("tcp", c.Listen)
+		if err != nil {
+			return err
+		}
+		listeners[i], addrs[i] = ln, ln.Addr().String()
+	}
+	fmt.Println(strings.Join(addrs, ","))
+	var g errgroup.Group
+	for _, ln := range listeners {
+		g.Go(func() error { return model.Serve(model.New(opts), ln) })
 	}
-	return model.Serve(model.New(opts), ln)
+	return g.Wait()
 }
 
 func main() {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -56,6 +57,8 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(d.metrics, w)
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(d.status(d.control.Snapshot()))
--- a/internal/limit/book.go
+++ b/internal/limit/book.go
@@ -213,8 +213,7 @@
 		}
 		asked := b.clock.Now()
 		ask, cancel := context.WithTimeout(ctx, askTime)
-		// Asking for more than is missing spares the next requests a round.
-		loan, err := b.lender.Borrow(ask, vm, ws, missing+cost)
+		loan, err := b.lender.Borrow(ask, vm, ws, missing)
 		cancel()
 		if err != nil || loan.Share <= 0 {
 			continue
@@ -250,14 +249,14 @@
 }
 
 // Lend deducts and returns a loan for another VM.
-func (b *Book) Lend(ws plank.WorkspaceID, want plank.Tokens) Loan {
+func (b *Book) Lend(ws plank.WorkspaceID, need plank.Tokens) Loan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket := b.buckets[ws]
 	if bucket == nil || b.opts.Static {
 		return Loan{}
 	}
-	return bucket.Lend(b.check(), want)
+	return bucket.Lend(b.check(), need)
 }
 
 // Spares returns the tokens at hand by workspace.
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -207,11 +207,11 @@
 	loanMargin = 300 * time.Millisecond
 )
 
-// Lend deducts a loan of up to want tokens and returns it. The lender keeps
-// half of what it has. The share lent is just large enough to hold the tokens.
-func (b *Bucket) Lend(now time.Time, want plank.Tokens) Loan {
+// Lend deducts a loan of up to need tokens and returns it. The share lent is
+// just large enough to hold the tokens.
+func (b *Bucket) Lend(now time.Time, need plank.Tokens) Loan {
 	b.advance(now)
-	tokens := min(want, b.level/2)
+	tokens := min(need, b.level)
 	if tokens < 1 || b.burst <= 0 {
 		return Loan{}
 	}
--- a/internal/limit/bucket_test.go
+++ b/internal/limit/bucket_test.go
@@ -37,17 +37,33 @@
 			mark      limit.Mark
 			cost      plank.Tokens
 		}
+		type inFlight struct {
+			vm    int
+			asked time.Time
+			loan  limit.Loan
+		}
+		var late []inFlight
 		var opens []open
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			// Mostly short steps, so that whole bursts fall into one interval,
+			// and some beyond the end of loans.
+			pauses := []int{0, 0, 1, 20, 300, 2900, 3100, 3400, 5000}
+			now = now.Add(time.Duration(rapid.SampledFrom(pauses).Draw(t, "ms")) * time.Millisecond)
 			vm := rapid.IntRange(0, n-1).Draw(t, "vm")
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
 			case 0, 1:
 				cost := plank.Tokens(rapid.IntRange(1, 300).Draw(t, "cost"))
 				if mark, ok := buckets[vm].Take(now, cost); ok {
 					opens = append(opens, open{vm, len(admitted), mark, cost})
 					admitted = append(admitted, admission{now, cost})
 				}
+			case 4:
+				for _, b := range buckets {
+					all := b.Level(now)
+					if _, ok := b.Take(now, all); ok {
+						admitted = append(admitted, admission{now, all})
+					}
+				}
 			case 2:
 				if len(opens) == 0 {
 					continue
@@ -63,11 +79,19 @@
 				if lender == vm {
 					continue
 				}
-				asked := now.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "delay")) * time.Millisecond)
 				loan := buckets[lender].Lend(now, plank.Tokens(rapid.IntRange(1, 400).Draw(t, "want")))
-				if loan.Share > 0 && rapid.Bool().Draw(t, "arrives") {
-					buckets[vm].Borrow(now, asked, loan)
+				if loan.Share > 0 {
+					late = append(late, inFlight{vm, now, loan})
+				}
+			case 5:
+				if len(late) == 0 {
+					continue
 				}
+				// Loans arrive in any order, late, or not at all.
+				i := rapid.IntRange(0, len(late)-1).Draw(t, "loan")
+				l := late[i]
+				late = append(late[:i], late[i+1:]...)
+				buckets[l.vm].Borrow(now, l.asked, l.loan)
 			}
 		}
 		checkBound(t, admitted, rate, burst)
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -56,7 +56,7 @@
 
 // A fleet is the processes of one test.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	shape    shape
 	platform string // address without a proxy
 	platProc *proc
@@ -90,12 +90,20 @@
 	proxy  *fault.Proxy
 }
 
+// address is where daemons reach the backend.
+func (e *backend) address() string {
+	if e.proxy == nil {
+		return e.addr
+	}
+	return e.proxy.Addr()
+}
+
 // nextIP numbers the loopback addresses of daemons over all tests, so that
 // proxies can tell them apart.
 var nextIP atomic.Int32
 
 // newFleet starts a fleet and waits until every daemon serves.
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
 	f := &fleet{t: t, shape: s}
 	f.platProc, f.platform = start(t, true, "standin", "platform")
@@ -159,7 +167,7 @@
 	n.Adapters.Set = append(n.Adapters.Set, notes.Adapter{Id: "private", Version: "1", Base: "base", Workspace: "two"})
 	for _, e := range f.engines {
 		n.Endpoints.Set = append(n.Endpoints.Set, notes.Endpoint{
-			Id: plank.EndpointID(e.id), Kind: notes.KindEngine, Address: e.proxy.Addr(), Domain: plank.DomainID(e.domain),
+			Id: plank.EndpointID(e.id), Kind: notes.KindEngine, Address: e.address(), Domain: plank.DomainID(e.domain),
 			Base: "base", Slots: f.shape.slots, Batch: f.shape.batch, VM: e.id,
 		})
 	}
@@ -315,7 +323,7 @@
 }
 
 // getJSON reads a stand-in's state. A stand-in that is down is asked again.
-func getJSON[T any](t *testing.T, addr, path string) T {
+func getJSON[T any](t testing.TB, addr, path string) T {
 	t.Helper()
 	var v T
 	eventually(t, 10*time.Second, "answer from "+addr+path, func() bool {
@@ -330,7 +338,7 @@
 }
 
 // post sends JSON to a stand-in's controls.
-func post(t *testing.T, addr, path string, v any) {
+func post(t testing.TB, addr, path string, v any) {
 	t.Helper()
 	body, err := json.Marshal(v)
 	assert.NilError(t, err)
--- a/test/proc_test.go
+++ b/test/proc_test.go
@@ -45,7 +45,7 @@
 
 // start runs a program and returns it with the first line of its output, if it
 // is to print one.
-func start(t *testing.T, wantLine bool, name string, args ...string) (*proc, string) {
+func start(t testing.TB, wantLine bool, name string, args ...string) (*proc, string) {
 	t.Helper()
 	logs, err := os.CreateTemp(t.TempDir(), name+"-*.log")
 	assert.NilError(t, err)
@@ -90,7 +90,7 @@
 }
 
 // eventually waits until the condition holds.
-func eventually(t *testing.T, limit time.Duration, what string, cond func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); ; {
 		if cond() {
@@ -103,7 +103,7 @@
 	}
 }
 
-func writeFile(t *testing.T, path, text string) {
+func writeFile(t testing.TB, path, text string) {
 	t.Helper()
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 }
