Heartbeats on lasting streams, one exchange for both sides; control cost down

A profile showed streams opened per heartbeat and state compared per heartbeat. Change: streams stay open; of two VMs in a domain one sends and the answer serves both, as heartbeats are numbered and acknowledged; the common part is made once a round; every second instead of every half; the domain record comes from the watch; fewer contacts in other domains; load reports every second. Also: refusals no longer use up a job's attempts (a resumed stream was cut once when three engines in a row had lost its adapter).

--- a/cmd/knapweedplank/serve.go
+++ b/cmd/knapweedplank/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"knapweedplank.org/plank/internal/config"
@@ -18,12 +19,18 @@
 	Settings string `required:"" placeholder:"FILE" help:"Settings file, JSON with comments."`
 }
 
+// gcPercent is how much the heap may grow between collections.
+const gcPercent = 50
+
 // Run runs until SIGTERM or SIGINT; a second signal stops at once.
 func (c *serveCmd) Run() error {
 	cfg, err := config.Load(c.Settings)
 	if err != nil {
 		return err
 	}
+	// The heap is small and mostly the catalog; collecting twice as often as by
+	// default keeps the daemon within its memory for little processor time.
+	debug.SetGCPercent(gcPercent)
 	d, err := daemon.New(cfg, logs.New(cfg.Logs, os.Stderr), daemon.Hooks{})
 	if err != nil {
 		return err
--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -24,14 +24,19 @@
 const (
 	// distantEvery is how many rounds pass between heartbeats to VMs of other
 	// failure domains.
-	distantEvery = 2
-	// contacts is how many VMs of each other domain this VM exchanges
-	// heartbeats with, so that their number grows with the number of domains
-	// and not of VMs.
-	contacts    = 2
+	distantEvery = 3
+	// maxContacts bounds the VMs of other domains that this VM sends heartbeats
+	// to, so that their number does not grow with that of VMs. Each domain has
+	// at least one.
+	maxContacts = 6
 	maxSpares   = 32
 	maxSuspects = 16
-	callTime    = time.Second
+	// answerTime bounds the wait for the answer to a heartbeat.
+	answerTime = 1500 * time.Millisecond
+	// idleTime is how long a stream may carry no heartbeat.
+	idleTime = 10 * time.Second
+	// reportTime is how long what a VM reports of itself is used again.
+	reportTime = 300 * time.Millisecond
 )
 
 // A Source tells what a VM reports of itself.
@@ -54,9 +59,12 @@
 	source Source
 	clock  plank.Clock
 
-	mu    sync.Mutex
-	state *wire.State
-	seq   uint64
+	mu       sync.Mutex
+	state    *wire.State
+	seq      uint64          // version of state
+	report   *wire.Heartbeat // what is the same for all receivers
+	reported time.Time
+	streams  map[string]*peer.Stream // open ones, by address
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -67,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Beater{
 		self: self, seeds: seeds, hub: hub, table: table, book: book, poison: poisons, source: source, clock: clock,
-		state: &wire.State{}, seq: 1, cancel: cancel, done: make(chan struct{}),
+		state: &wire.State{}, seq: 1, streams: make(map[string]*peer.Stream), cancel: cancel, done: make(chan struct{}),
 	}
 	go func() {
 		defer close(b.done)
@@ -113,7 +121,9 @@
 	address string
 }
 
-// targets lists the VMs of the own domain and, if distant, contacts in others.
+// targets lists the VMs to send a heartbeat to: of the own domain those with a
+// higher name, since one exchange serves both sides, and those that are silent;
+// and if distant, contacts in other domains.
 func (b *Beater) targets(distant bool) []target {
 	var targets []target
 	add := func(vm plank.VMID, address string) {
@@ -122,33 +132,45 @@
 			targets = append(targets, target{vm, address})
 		}
 	}
-	for _, r := range b.source.Records() {
+	now := b.clock.Now()
+	peers := b.table.Peers()
+	serves := func(vm plank.VMID) bool {
+		i := slices.IndexFunc(peers, func(p member.Peer) bool { return p.VM == vm })
+		return vm < b.self.VM && i >= 0 && now.Sub(peers[i].Heard) < member.FreshTime
+	}
+	records := b.source.Records()
+	contacts := max(1, maxContacts/max(1, len(records)-1))
+	for _, r := range records {
 		switch {
 		case r.Domain == b.self.Domain:
 			for _, m := range r.Members {
-				add(m.VM, m.Address)
+				if !serves(m.VM) {
+					add(m.VM, m.Address)
+				}
 			}
 		case distant:
-			for _, m := range b.contactsIn(r) {
+			for _, m := range b.contactsIn(r, contacts) {
 				add(m.VM, m.Address)
 			}
 		}
 	}
-	for _, p := range b.table.Peers() {
-		if p.Domain == b.self.Domain {
+	for _, p := range peers {
+		if p.Domain == b.self.Domain && !serves(p.VM) {
 			add(p.VM, p.Address)
 		}
 	}
 	if distant {
 		for _, seed := range b.seeds {
-			add("", seed)
+			if !slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Address == seed }) {
+				add("", seed)
+			}
 		}
 	}
 	return targets
 }
 
-// contactsIn picks the VMs of another domain by rendezvous hashing.
-func (b *Beater) contactsIn(r claim.Record) []claim.Member {
+// contactsIn picks n VMs of another domain by rendezvous hashing.
+func (b *Beater) contactsIn(r claim.Record, n int) []claim.Member {
 	members := slices.Clone(r.Members)
 	rank := func(m claim.Member) uint64 { return xxhash.Sum64String(string(b.self.VM) + "/" + string(m.VM)) }
 	slices.SortFunc(members, func(x, y claim.Member) int {
@@ -157,44 +179,112 @@
 		}
 		return 1
 	})
-	return members[:min(contacts, len(members))]
+	return members[:min(n, len(members))]
 }
 
-// exchange sends one heartbeat and takes the answer.
+// exchange sends one heartbeat and takes the answer, on the stream of earlier
+// ones if it is open.
 func (b *Beater) exchange(ctx context.Context, t target) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	sent := b.clock.Now()
+	hb := b.make(t.vm)
+	s, fresh, err := b.stream(ctx, t.address, hb)
+	if err != nil {
+		return
+	}
 	var reply wire.Heartbeat
-	err := b.hub.Call(ctx, t.address, &wire.Call{Body: &wire.Call_Heartbeat{Heartbeat: b.Make(t.vm)}}, &reply)
+	err = s.SetDeadline(time.Now().Add(answerTime))
+	if err == nil && !fresh {
+		err = s.Send(hb)
+	}
+	if err == nil {
+		err = s.Receive(&reply)
+	}
 	if err != nil {
+		b.drop(t.address, s)
 		return
 	}
-	b.Take(&reply, sent)
+	b.take(&reply)
+}
+
+// stream returns the open stream to an address, or opens one with a heartbeat.
+func (b *Beater) stream(ctx context.Context, address string, hb *wire.Heartbeat) (s *peer.Stream, fresh bool, err error) {
+	b.mu.Lock()
+	s = b.streams[address]
+	b.mu.Unlock()
+	if s != nil {
+		return s, false, nil
+	}
+	s, err = b.hub.Open(ctx, address, &wire.Call{Body: &wire.Call_Heartbeat{Heartbeat: hb}})
+	if err != nil {
+		return nil, false, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams[address] = s
+	return s, true, nil
+}
+
+// drop closes a stream that failed. The next round opens another.
+func (b *Beater) drop(address string, s *peer.Stream) {
+	s.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.streams[address] == s {
+		delete(b.streams, address)
+	}
 }
 
-// Take merges a heartbeat. sent is when the one that it answers was sent, or
-// zero.
-func (b *Beater) Take(hb *wire.Heartbeat, sent time.Time) {
-	b.table.Take(hb, sent, b.clock.Now(), b.self.Boot)
+// Serve answers the heartbeats of a stream that another VM opened.
+func (b *Beater) Serve(first *wire.Heartbeat, s *peer.Stream) {
+	hb := first
+	for hb.GetVm() != "" {
+		b.take(hb)
+		if err := s.Send(b.make(plank.VMID(hb.GetVm()))); err != nil {
+			return
+		}
+		hb = &wire.Heartbeat{}
+		if err := s.SetDeadline(time.Now().Add(idleTime)); err != nil {
+			return
+		}
+		if err := s.Receive(hb); err != nil {
+			return
+		}
+	}
+}
+
+// take merges a heartbeat.
+func (b *Beater) take(hb *wire.Heartbeat) {
+	b.table.Take(hb, b.clock.Now(), b.self.Boot)
 	for _, s := range hb.GetSuspects() {
 		b.poison.Merge(poison.FromWire(s))
 	}
 }
 
-// Make returns this VM's heartbeat for another VM. The state is left out when
+// make returns this VM's heartbeat for another VM. The state is left out when
 // the other is known to have it.
-func (b *Beater) Make(to plank.VMID) *wire.Heartbeat {
-	statuses := b.source.Statuses()
-	state, seq := b.update(statuses)
-	seen, bootHash, acked := b.table.Seen(to)
+func (b *Beater) make(to plank.VMID) *wire.Heartbeat {
+	report, state := b.refresh()
 	hb := &wire.Heartbeat{
 		Vm: string(b.self.VM), Boot: string(b.self.Boot), Domain: string(b.self.Domain), Address: b.self.Address,
-		Applied: uint64(b.source.Applied()), Leaving: b.source.Leaving(), StateSeq: seq, SeenSeq: seen, SeenBootHash: bootHash,
+		Applied: uint64(b.source.Applied()), Leaving: b.source.Leaving(), StateSeq: report.GetStateSeq(),
+		Loads: report.GetLoads(), Spares: report.GetSpares(), Suspects: report.GetSuspects(),
 	}
-	if acked != seq {
+	if b.table.Address(hb, to, b.clock.Now()) != hb.GetStateSeq() {
 		hb.State = state
 	}
+	return hb
+}
+
+// refresh returns the part of heartbeats that is the same for all receivers.
+func (b *Beater) refresh() (*wire.Heartbeat, *wire.State) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.report != nil && now.Sub(b.reported) < reportTime {
+		return b.report, b.state
+	}
+	statuses := b.source.Statuses()
+	b.update(statuses)
+	hb := &wire.Heartbeat{StateSeq: b.seq}
 	for _, st := range statuses {
 		hb.Loads = append(hb.Loads, &wire.EndpointLoad{Endpoint: string(st.Endpoint), Outstanding: uint32(st.Outstanding), WaitingLoads: uint32(st.Loads)})
 	}
@@ -206,12 +296,12 @@
 	for _, e := range b.poison.All(maxSuspects) {
 		hb.Suspects = append(hb.Suspects, e.ToWire())
 	}
-	return hb
+	b.report, b.reported = hb, now
+	return b.report, b.state
 }
 
-// update returns the present state with its version, which rises when the state
-// changed.
-func (b *Beater) update(statuses []runner.Status) (*wire.State, uint64) {
+// update makes a new version of the state if it changed. The lock is held.
+func (b *Beater) update(statuses []runner.Status) {
 	state := &wire.State{}
 	for _, st := range statuses {
 		state.Endpoints = append(state.Endpoints, &wire.EndpointState{
@@ -219,13 +309,10 @@
 			Resident: names(st.Resident), Loading: names(st.Loading),
 		})
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if !proto.Equal(state, b.state) {
 		b.state = state
 		b.seq++
 	}
-	return b.state, b.seq
 }
 
 func names(models []plank.Model) []string {
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -37,10 +37,12 @@
 	NewRunner RunnerMaker
 	// Loads is the limit of loads over the whole fleet.
 	Loads limit.Limit
+	// Record returns the domain's record as the watch of the platform has it.
+	Record func() (claim.Record, plank.ObjectVersion, bool)
 }
 
 // TickEvery is the pause between refreshes of what peers and runners report.
-const TickEvery = 100 * time.Millisecond
+const TickEvery = 200 * time.Millisecond
 
 // A Control is the control thread. Its methods may be called from any
 // goroutine; they hand messages to the thread.
@@ -184,6 +186,9 @@
 // TakeHead tells the number of the last note that the platform or a peer knows.
 func (c *Control) TakeHead(n plank.NoteNumber) { c.send(headMsg{n}) }
 
+// Record implements lease.Host.
+func (c *Control) Record() (claim.Record, plank.ObjectVersion, bool) { return c.deps.Record() }
+
 // SetView implements lease.Host. It returns once the view is in force, so that
 // an older view can never undo a share that was given up since.
 func (c *Control) SetView(v lease.View) {
@@ -459,7 +464,7 @@
 	}
 	for _, p := range c.deps.Table.Peers() {
 		c.known = max(c.known, p.Applied)
-		if !p.Fresh(now) {
+		if !p.Fresh(now, c.self.Domain) {
 			continue
 		}
 		// A reachable peer tells the head as well as the platform does.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,6 +152,7 @@
 	})
 	d.control = ctrl.New(d.self, ctrl.Deps{
 		Clock: d.clock, Table: d.table, Book: d.book, Keys: d.keys, Log: d.entry("ctrl"), NewRunner: d.newRunner,
+		Record: func() (claim.Record, plank.ObjectVersion, bool) { return d.feed.Record(d.cfg.Domain) },
 		// A load costs loadCost, so that shares of the budget can be lent in parts.
 		Loads: limit.Limit{Rate: plank.TokensPerSecond(d.cfg.Loads.PerSecond * loadCost), Burst: plank.Tokens(d.cfg.Loads.Burst * loadCost)},
 	})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/limit"
@@ -18,21 +17,19 @@
 var _ peer.Handler = (*Daemon)(nil)
 
 // Serve implements peer.Handler.
-func (d *Daemon) Serve(ctx context.Context, call *wire.Call, s *peer.Stream) {
+func (d *Daemon) Serve(call *wire.Call, s *peer.Stream) {
 	switch body := call.GetBody().(type) {
 	case *wire.Call_Heartbeat:
-		b := d.beater.Load()
-		if b == nil || body.Heartbeat.GetVm() == "" {
-			return
+		if b := d.beater.Load(); b != nil {
+			b.Serve(body.Heartbeat, s)
 		}
-		b.Take(body.Heartbeat, time.Time{})
-		// The peer may be gone; the next heartbeat tells.
-		_ = s.Send(b.Make(plank.VMID(body.Heartbeat.GetVm())))
 	case *wire.Call_Borrow:
 		d.serveBorrow(body.Borrow, s)
 	case *wire.Call_Notes:
 		d.feed.ServeNotes(body.Notes, s)
 	case *wire.Call_Forward:
+		ctx, cancel := s.Context()
+		defer cancel()
 		d.relay.Serve(ctx, body.Forward, s)
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -46,7 +46,7 @@
 	log     *logrus.Entry
 
 	mu      sync.Mutex
-	records map[plank.DomainID]claim.Record
+	records map[plank.DomainID]versioned
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Feed{
 		store: store, control: control, hub: hub, poison: poisons, log: log,
-		records: make(map[plank.DomainID]claim.Record), cancel: cancel,
+		records: make(map[plank.DomainID]versioned), cancel: cancel,
 	}
 	f.done.Add(2)
 	go func() {
@@ -83,7 +83,7 @@
 	defer f.mu.Unlock()
 	out := make([]claim.Record, 0, len(f.records))
 	for _, r := range f.records {
-		out = append(out, r)
+		out = append(out, r.record)
 	}
 	slices.SortFunc(out, func(a, b claim.Record) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
 	return out
@@ -211,7 +211,23 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.records[d] = r
+	if o.Version >= f.records[d].version {
+		f.records[d] = versioned{r, o.Version}
+	}
+}
+
+// versioned is a domain's record with its version.
+type versioned struct {
+	record  claim.Record
+	version plank.ObjectVersion
+}
+
+// Record returns a domain's record as last seen, if it was seen.
+func (f *Feed) Record(d plank.DomainID) (claim.Record, plank.ObjectVersion, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.records[d]
+	return r.record, r.version, ok
 }
 
 // watchPeers takes notes from a peer that has more of them. It covers a
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -38,6 +38,8 @@
 	DrainEndpoint(e plank.EndpointID) bool
 	// SetView hands over what the VM holds. It is called after each change.
 	SetView(v View)
+	// Record returns the domain's record as a watch has it, if it is known.
+	Record() (claim.Record, plank.ObjectVersion, bool)
 }
 
 // A View is what a VM holds, as last confirmed by the platform.
@@ -83,6 +85,8 @@
 	version    plank.ObjectVersion // of the stored lease
 	record     claim.Record
 	recVersion plank.ObjectVersion
+	// doubt is set after a write of the record that failed.
+	doubt bool
 	// shareCap bounds the share while a write that lowered it may still take
 	// effect; capVersion is the version that the write was based on.
 	shareCap   plank.PPM
@@ -302,12 +306,19 @@
 	}
 }
 
-// readRecord reads the domain's record.
+// readRecord takes the domain's record from the watch, which spares a call. It
+// reads the platform where the watch has nothing, or nothing new for an own
+// write that failed.
 func (k *Keeper) readRecord(ctx context.Context) error {
+	if r, version, ok := k.host.Record(); ok && !k.doubt && version >= k.recVersion {
+		k.setRecord(r, version)
+		return nil
+	}
 	o, err := k.store.Get(ctx, claim.Key(k.self.Domain))
 	if err != nil {
 		return err
 	}
+	k.doubt = false
 	if o.Version < k.recVersion {
 		return nil // a stale read
 	}
@@ -417,10 +428,11 @@
 	version, err := k.store.Put(ctx, claim.Key(k.self.Domain), value, k.recVersion)
 	var conflict *plank.ConflictError
 	if errors.As(err, &conflict) {
-		k.capped = false
+		k.capped, k.doubt = false, true
 		return nil
 	}
 	if err != nil {
+		k.doubt = true
 		return err
 	}
 	k.setRecord(r, version)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,9 +15,12 @@
 // The times of heartbeats.
 const (
 	// BeatEvery is the pause between heartbeats to VMs of the own domain.
-	BeatEvery = 500 * time.Millisecond
+	BeatEvery = time.Second
 	// FreshTime is how long a VM counts as reachable after a heartbeat.
-	FreshTime = 2 * time.Second
+	FreshTime = 2500 * time.Millisecond
+	// DistantFreshTime is the same for VMs of other domains, to which
+	// heartbeats go less often.
+	DistantFreshTime = 8 * time.Second
 	// ForgetTime is how long a silent VM that no record lists is kept.
 	ForgetTime = time.Minute
 )
@@ -30,10 +33,10 @@
 	Address string
 	Applied plank.NoteNumber
 	Leaving bool
-	// Heard is when the VM's own heartbeat last arrived here; it was answered,
-	// and so holds up that VM's lease.
+	// Heard is when the VM's last heartbeat arrived here. As it may come to
+	// know so, that heartbeat holds up the VM's lease.
 	Heard time.Time
-	// Answered is when the last heartbeat that the VM answered was sent. It
+	// Answered is when the last heartbeat that the VM acknowledged was sent. It
 	// holds up this VM's lease.
 	Answered time.Time
 	// Endpoints is the state of the endpoints that the VM owns.
@@ -42,6 +45,19 @@
 
 	stateSeq uint64 // of Endpoints
 	seenSeq  uint64 // of this VM's state, as acknowledged
+	lastBeat uint64 // number of the VM's last heartbeat
+	// sent holds when the last heartbeats to the VM were sent, by number modulo
+	// its length.
+	sent [keptBeats]sentBeat
+	next uint64 // number of the next heartbeat
+}
+
+// keptBeats is how many heartbeats may be under way to one VM.
+const keptBeats = 8
+
+type sentBeat struct {
+	number uint64
+	at     time.Time
 }
 
 // An Endpoint is what its owner tells of it.
@@ -55,9 +71,12 @@
 	Loading     map[plank.Model]bool
 }
 
-// Fresh reports whether the peer was heard or answered lately.
-func (p *Peer) Fresh(now time.Time) bool {
-	return now.Sub(p.Heard) < FreshTime || now.Sub(p.Answered) < FreshTime
+// Fresh reports whether the peer was heard lately, by a VM of the given domain.
+func (p *Peer) Fresh(now time.Time, domain plank.DomainID) bool {
+	if p.Domain == domain {
+		return now.Sub(p.Heard) < FreshTime
+	}
+	return now.Sub(p.Heard) < DistantFreshTime
 }
 
 // A Table holds all known peers. It is safe for concurrent use.
@@ -73,9 +92,8 @@
 	return &Table{self: self, peers: make(map[plank.VMID]*Peer)}
 }
 
-// Take merges a peer's heartbeat. sent is when this VM sent the heartbeat that
-// it answers, or zero when it came by itself.
-func (t *Table) Take(hb *wire.Heartbeat, sent, now time.Time, myBoot plank.BootID) {
+// Take merges a peer's heartbeat.
+func (t *Table) Take(hb *wire.Heartbeat, now time.Time, myBoot plank.BootID) {
 	vm := plank.VMID(hb.GetVm())
 	if vm == t.self || vm == "" {
 		return
@@ -92,13 +110,14 @@
 	p.Address = hb.GetAddress()
 	p.Applied = max(p.Applied, plank.NoteNumber(hb.GetApplied()))
 	p.Leaving = hb.GetLeaving()
-	if sent.IsZero() {
-		p.Heard = now
-	} else if sent.After(p.Answered) {
-		p.Answered = sent
-	}
+	p.Heard = now
+	p.lastBeat = max(p.lastBeat, hb.GetBeat())
 	if hb.GetSeenBootHash() == BootHash(myBoot) {
 		p.seenSeq = hb.GetSeenSeq()
+		s := p.sent[hb.GetSeenBeat()%keptBeats]
+		if s.number == hb.GetSeenBeat() && s.at.After(p.Answered) {
+			p.Answered = s.at
+		}
 	}
 	p.takeState(hb)
 }
@@ -141,17 +160,21 @@
 // BootHash is the short form in which heartbeats name the receiver's run.
 func BootHash(b plank.BootID) uint64 { return xxhash.Sum64String(string(b)) }
 
-// Seen returns the version of the peer's state that is known here, the hash of
-// the run that it belongs to, and the version of this VM's state that the peer
-// has acknowledged.
-func (t *Table) Seen(vm plank.VMID) (seq, bootHash, acked uint64) {
+// Address fills the fields of a heartbeat to vm that depend on the receiver, and
+// notes when it was sent. It returns the version of this VM's state that the
+// receiver has acknowledged.
+func (t *Table) Address(hb *wire.Heartbeat, vm plank.VMID, now time.Time) (acked uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[vm]
 	if p == nil {
-		return 0, 0, 0
+		return 0
 	}
-	return p.stateSeq, BootHash(p.Boot), p.seenSeq
+	p.next++
+	p.sent[p.next%keptBeats] = sentBeat{number: p.next, at: now}
+	hb.Beat, hb.SeenBeat = p.next, p.lastBeat
+	hb.SeenSeq, hb.SeenBootHash = p.stateSeq, BootHash(p.Boot)
+	return p.seenSeq
 }
 
 // Peers returns copies of all known peers, sorted by VM.
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -60,8 +60,8 @@
 
 // A Handler answers calls of other VMs.
 type Handler interface {
-	// Serve answers one call. ctx ends when the caller gives up.
-	Serve(ctx context.Context, call *wire.Call, s *Stream)
+	// Serve answers one call.
+	Serve(call *wire.Call, s *Stream)
 }
 
 // A Hub holds the connections to other VMs.
@@ -172,15 +172,18 @@
 	if err := s.SetDeadline(time.Time{}); err != nil {
 		return
 	}
+	handler.Serve(&call, s)
+}
+
+// Context returns a context that ends when the caller closes the stream or its
+// VM is gone. The caller must not send more than its call.
+func (s *Stream) Context() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	go func() {
-		// The caller sends nothing after its call, so a read returns when it
-		// has closed the stream or its VM is gone.
 		_, _ = s.r.ReadByte()
 		cancel()
 	}()
-	handler.Serve(ctx, &call, s)
+	return ctx, cancel
 }
 
 // Open starts a call to the VM at addr. The stream ends with ctx.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,7 @@
 
 // The rules of retries.
 const (
-	// maxAttempts bounds the endpoints that are tried for one job.
+	// maxAttempts bounds the endpoints that begin one job.
 	maxAttempts = 4
 	// maxBroken is after how many endpoints that broke off before they gave a
 	// part of the answer no other is put at risk by the job.
@@ -104,13 +104,22 @@
 		if err == nil {
 			return nil
 		}
-		attempt++
+		// An endpoint that refused did not begin; the deadline and the budget
+		// bound how many are asked.
+		if !isRefusal(err) {
+			attempt++
+		}
 		if again := r.judge(ctx, c, e, err, c.job.Offset > offset); !again || attempt >= maxAttempts {
 			return c.refusal(ctx)
 		}
 	}
 }
 
+func isRefusal(err error) bool {
+	var refused *plank.RefusalError
+	return errors.As(err, &refused)
+}
+
 // A callerError wraps an error of the caller's connection.
 type callerError struct{ err error }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -66,7 +66,7 @@
 	unloadTimeout = time.Second
 	loadTimeout   = 15 * time.Second
 	// reportEvery is the pause between load reports.
-	reportEvery = 500 * time.Millisecond
+	reportEvery = time.Second
 	// reportAge is the oldest that a load report may be.
 	reportAge = 2 * time.Second
 	// drainAfter is the part of its patience that a request waits for a load
@@ -110,9 +110,10 @@
 	check     *crashCheck         // under way, or nil
 	idle      chan struct{}       // closed once closing and nothing runs
 
-	wake   chan struct{} // tells the loader of a want
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	wake    chan struct{} // tells the loader of a want
+	lookNow chan struct{} // asks for a load report at once
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // A slot is a resident model.
@@ -133,6 +134,9 @@
 	// loaded is when the model was first seen loaded; zero before.
 	loaded  time.Time
 	granted chan error // holds nil once the request may run
+	// slot is what the running request uses. It stays the same if the model is
+	// lost and loaded again meanwhile.
+	slot *slot
 	// stop ends the running request when the endpoint is found to be down.
 	stop context.CancelCauseFunc
 }
@@ -148,7 +152,7 @@
 		opts: opts, deps: deps, term: term, pinned: pinned,
 		slots: make(map[plank.Model]*slot), failures: make(map[plank.Model]int),
 		queue: opts.Queue, lastOrder: deps.Clock.Now(), waiting: make(map[uint64]*waiter), running: make(map[uint64]*waiter),
-		idle: make(chan struct{}), wake: make(chan struct{}, 1), cancel: cancel,
+		idle: make(chan struct{}), wake: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), cancel: cancel,
 	}
 	r.done.Add(2)
 	go func() {
@@ -273,10 +277,8 @@
 	if r.exclusive == w {
 		r.exclusive = nil
 	}
-	if s := r.slots[w.job.Model]; s != nil && s.inUse > 0 {
-		s.inUse--
-		s.lastUse = r.deps.Clock.Now()
-	}
+	w.slot.inUse--
+	w.slot.lastUse = r.deps.Clock.Now()
 	if err != nil {
 		r.deps.Log.WithFields(logrus.Fields{"request": w.job.ID, "endpoint": r.opts.Endpoint}).WithError(err).Info("runner: request ended early")
 	}
@@ -294,11 +296,16 @@
 	}
 }
 
-// dropSlot forgets a model that the engine says it does not hold.
+// dropSlot forgets a model that the engine says it does not hold, and has the
+// engine asked at once what else it lost.
 func (r *Runner) dropSlot(m plank.Model) {
 	r.mu.Lock()
 	delete(r.slots, m)
 	r.mu.Unlock()
+	select {
+	case r.lookNow <- struct{}{}:
+	default:
+	}
 }
 
 // SetLeaving stops new work for an endpoint that is going away.
--- a/internal/runner/sched.go
+++ b/internal/runner/sched.go
@@ -39,6 +39,7 @@
 	}
 	s := r.slots[w.job.Model]
 	s.inUse++
+	w.slot = s
 	s.uses = aged(s, now) + 1
 	s.lastUse = now
 	w.granted <- nil
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -31,7 +31,11 @@
 			silent = 0
 			r.takeReport(report, asked)
 		}
-		pauseFor(ctx, reportEvery)
+		select {
+		case <-r.lookNow:
+		case <-time.After(reportEvery):
+		case <-ctx.Done():
+		}
 	}
 }
 
