--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +97,40 @@
 	_, err = s.Put(ctx, ctrl.ListKey, value, o.Version)
 	assert.NilError(f.t, err)
 }
+
+// TestPlannedStopOfOwner stops the owner of engines that run requests which
+// other daemons forwarded to it.
+func TestPlannedStopOfOwner(t *testing.T) {
+	t.Parallel()
+	s := small()
+	s.domains, s.daemons, s.engines = []string{"a"}, 3, 3
+	f := newFleet(t, s)
+	tr := f.startTraffic(16, 31, f.daemons[0], f.daemons[1])
+	long := make(chan result, 4)
+	for i := range cap(long) {
+		go func() {
+			long <- f.daemons[i%2].complete(context.Background(), keyOne, fmt.Sprintf("ad-%d@1", 30+i), "long", 400)
+		}()
+	}
+	time.Sleep(time.Second)
+	f.daemons[2].proc.signal(syscall.SIGTERM)
+	code, ok := f.daemons[2].proc.exited(20 * time.Second)
+	assert.Assert(t, ok && code == 0, "the owner did not stop")
+	eventually(t, 5*time.Second, "its engines have new owners", func() bool {
+		return f.ownedBy("vm-a-0")+f.ownedBy("vm-a-1") == len(f.engines)
+	})
+	for range cap(long) {
+		r := <-long
+		assert.Assert(t, r.whole, "%+v", r)
+	}
+	share := tr.end()
+	tr.checkWhole()
+	assert.Equal(t, share, 1.0)
+	retried := 0
+	for _, st := range f.engineStats() {
+		retried += st.Cancelled
+	}
+	// Answers would come whole by retries as well; a planned stop needs none.
+	assert.Equal(t, retried, 0, "runs that an engine was made to give up")
+	f.checkEngines()
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -146,6 +146,9 @@
 	keyTwo = plain.KeyPrefix + "two"
 )
 
+// bulkCost is what a call of /bulk/ takes from its workspace's rate.
+const bulkCost = 100
+
 // firstNote sets everything that the tests use.
 func (f *fleet) firstNote() *notes.Note {
 	n := &notes.Note{Id: "first"}
@@ -178,6 +181,7 @@
 	}
 	n.Routes.Set = []notes.Route{
 		{Path: "/bookings/", Service: "bookings", Once: []string{"POST"}, Cost: 1},
+		{Path: "/bulk/", Service: "bookings", Cost: bulkCost},
 		{Path: "/catalogue/", Service: "bookings", Open: true, Workspace: "public", Cost: 1},
 	}
 	return n
--- a/test/rate_test.go
+++ b/test/rate_test.go
@@ -46,7 +46,8 @@
 				cancel()
 				if r.whole {
 					mu.Lock()
-					spends = append(spends, spend{r.began, r.ended, tokens})
+					const promptTokens = 3 // as the daemon estimates "flood 1 2"
+					spends = append(spends, spend{r.began, r.ended, tokens + promptTokens})
 					mu.Unlock()
 				} else {
 					time.Sleep(20 * time.Millisecond)
@@ -72,11 +73,67 @@
 	t.Logf("%d answers; the fullest interval used %.2f of its bound", len(spends), worst)
 	// A limit that admits nothing would hold as well.
 	span := 29.0
-	used := float64(len(spends)) * tokens / (rate * span)
+	used := float64(len(spends)) * (tokens + 3) / (rate * span)
 	t.Logf("used %.2f of the rate", used)
 	assert.Assert(t, used > 0.5, "used only %.2f of the rate", used)
 }
 
+// TestShareAfterPauseAndRestart spends a workspace's whole burst at once through
+// two daemons at the moments at which a share could be counted twice: as a
+// daemon wakes after its share was taken over, and after a restart.
+func TestShareAfterPauseAndRestart(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 300, 3000
+	s := small()
+	s.domains, s.daemons, s.rate, s.burst, s.seconds = []string{"a"}, 2, rate, burst, 2
+	f := newFleet(t, s)
+	awake, sleeper := f.daemons[0], f.daemons[1]
+	time.Sleep(time.Second * burst / rate)
+	sleeper.proc.signal(syscall.SIGSTOP)
+	eventually(t, 30*time.Second, "the sleeper's share is taken over", func() bool {
+		st, ok := awake.status()
+		return ok && st.Spares["one"] > 0.95*burst
+	})
+	sleeper.proc.signal(syscall.SIGCONT)
+	spends := f.floodBulk(2 * time.Second)
+	sleeper.proc.kill()
+	sleeper.start()
+	time.Sleep(5 * time.Second)
+	spends = append(spends, f.floodBulk(2*time.Second)...)
+	worst := checkSpends(t, spends, rate, burst)
+	t.Logf("%d calls; the fullest interval used %.2f of its bound", len(spends), worst)
+	assert.Assert(t, worst > 0.6, "the test spends too little to show a fault: %.2f", worst)
+}
+
+// floodBulk makes costly calls through all daemons for a time, many at once.
+func (f *fleet) floodBulk(d time.Duration) []spend {
+	var mu sync.Mutex
+	var spends []spend
+	var callers sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := range 40 {
+		v := f.daemons[i%len(f.daemons)]
+		callers.Go(func() {
+			for time.Now().Before(end) {
+				began := time.Now()
+				resp, err := v.send(context.Background(), http.MethodGet, "/bulk/x", keyOne, "", "")
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					mu.Lock()
+					spends = append(spends, spend{began, time.Now(), bulkCost})
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return spends
+}
+
 // checkSpends fails if the answers that lie wholly within any interval used
 // more than rate*T + burst, and returns the fullest part.
 func checkSpends(t *testing.T, spends []spend, rate, burst float64) float64 {
