--- a/internal/bench/exper.go
+++ b/internal/bench/exper.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"path/filepath"
 
 	"github.com/rotisserie/eris"
 	"github.com/tailscale/hujson"
@@ -15,8 +16,10 @@
 // An Experiment is one load on one shape of fleet, run with each of several
 // sets of policies. Field names are those of the file, JSON with comments.
 type Experiment struct {
-	Name string
-	Seed uint64
+	// Extends names a file beside this one whose fields hold unless set here.
+	Extends string
+	Name    string
+	Seed    uint64
 	// WarmupSec is served and not measured; MeasureSec follows.
 	WarmupSec  float64
 	MeasureSec float64
@@ -101,23 +104,41 @@
 // ReadExperiment reads an experiment file.
 func ReadExperiment(path string) (Experiment, error) {
 	var e Experiment
+	if err := readInto(&e, path); err != nil {
+		return e, err
+	}
+	for i := range e.Policies {
+		e.Policies[i].Policies = fillPolicies(e.Policies[i].Policies)
+	}
+	return e, nil
+}
+
+// readInto sets the fields that a file and those it extends name.
+func readInto(e *Experiment, path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return e, eris.Wrap(err, "read experiment")
+		return eris.Wrap(err, "read experiment")
 	}
 	plain, err := hujson.Standardize(text)
 	if err != nil {
-		return e, eris.Wrapf(err, "read experiment %s", path)
+		return eris.Wrapf(err, "read experiment %s", path)
 	}
-	dec := json.NewDecoder(bytes.NewReader(plain))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&e); err != nil {
-		return e, eris.Wrapf(err, "read experiment %s", path)
+	var head struct{ Extends string }
+	if err := json.Unmarshal(plain, &head); err != nil {
+		return eris.Wrapf(err, "read experiment %s", path)
 	}
-	for i := range e.Policies {
-		e.Policies[i].Policies = fillPolicies(e.Policies[i].Policies)
+	if head.Extends != "" {
+		if err := readInto(e, filepath.Join(filepath.Dir(path), head.Extends)); err != nil {
+			return err
+		}
+		// Lists replace those of the extended file instead of merging with them.
+		if bytes.Contains(plain, []byte(`"Policies"`)) {
+			e.Policies = nil
+		}
 	}
-	return e, nil
+	dec := json.NewDecoder(bytes.NewReader(plain))
+	dec.DisallowUnknownFields()
+	return eris.Wrapf(dec.Decode(e), "read experiment %s", path)
 }
 
 // fillPolicies replaces empty names by the defaults.
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/claim"
@@ -490,10 +489,11 @@
 }
 
 func (c *Control) engine(spec notes.Endpoint, vm plank.VMID, addr string, st member.Endpoint, r *runner.Runner) Engine {
-	return Engine{
+	e := Engine{
 		Endpoint: spec, Owner: vm, Address: addr, State: st, Runner: r,
-		Local: spec.Domain == c.self.Domain, Sent: c.counter(spec.Id), seed: xxhash.Sum64String(string(spec.Id)),
+		Local: spec.Domain == c.self.Domain, Sent: c.counter(spec.Id),
 	}
+	return e.WithSeed()
 }
 
 // newestOwners keeps, of engines that two VMs say they own, the one with the
--- a/internal/ctrl/snap.go
+++ b/internal/ctrl/snap.go
@@ -51,6 +51,12 @@
 	seed uint64
 }
 
+// WithSeed returns the engine ready for rendezvous hashing.
+func (e Engine) WithSeed() Engine {
+	e.seed = xxhash.Sum64String(string(e.Endpoint.Id))
+	return e
+}
+
 // Candidates appends the engines that may run the model of the given base, and
 // returns them with their indexes in Engines. The slices given are reused.
 func (s *Snapshot) Candidates(m plank.Model, base string, skip []plank.EndpointID, cs []plank.Candidate, index []int) ([]plank.Candidate, []int) {
--- a/internal/limit/book.go
+++ b/internal/limit/book.go
@@ -142,8 +142,9 @@
 	waitPart = 4
 	// maxLenders bounds the VMs that are asked in one round.
 	maxLenders = 8
-	// pause is the least time between two rounds.
-	pause = 20 * time.Millisecond
+	// pause and maxPause bound the time between two rounds.
+	pause    = 20 * time.Millisecond
+	maxPause = 200 * time.Millisecond
 )
 
 // Acquire admits a cost, asking other VMs for tokens and waiting for the
@@ -160,24 +161,20 @@
 			continue
 		}
 		now := b.clock.Now()
-		if now.Add(wait).After(giveUp) {
+		if b.opts.Static || now.Add(wait).After(giveUp) {
 			return nil, &plank.RefusalError{
 				Code: plank.CodeRateLimited, Ran: plank.NotRun, RetryAfter: wait,
 				Detail: fmt.Sprintf("workspace %s has used its rate; the request costs %.0f tokens", ws, cost),
 			}
 		}
 		select {
-		case <-time.After(max(pause, min(wait, giveUp.Sub(now)/4))):
+		case <-time.After(max(pause, min(wait, maxPause))):
 		case <-ctx.Done():
 			return nil, plank.Refuse(plank.CodePatience, "caller left while the request waited for its rate")
 		}
 	}
 }
 
-// unknownWait is the wait that is reported when the own share never holds the
-// cost, so that only loans can.
-const unknownWait = time.Second
-
 // try takes the cost from the own bucket, or returns the wait for it.
 func (b *Book) try(ws plank.WorkspaceID, cost plank.Tokens) (*Grant, time.Duration, error) {
 	b.mu.Lock()
@@ -193,11 +190,7 @@
 	if mark, ok := bucket.Take(now, cost); ok {
 		return &Grant{Workspace: ws, Cost: cost, bucket: bucket, mark: mark}, 0, nil
 	}
-	wait, ok := bucket.Wait(now, cost)
-	if !ok {
-		wait = unknownWait
-	}
-	return nil, wait, nil
+	return nil, bucket.Wait(now, cost), nil
 }
 
 // borrow asks lenders until the bucket holds the cost. It reports whether it
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -180,16 +180,12 @@
 	return b.level
 }
 
-// Wait returns how long the refill takes until cost tokens are at hand, and
-// false when the share in force never holds so many.
-func (b *Bucket) Wait(now time.Time, cost plank.Tokens) (time.Duration, bool) {
+// Wait returns the least time in which the missing tokens are refilled over all
+// VMs together.
+func (b *Bucket) Wait(now time.Time, cost plank.Tokens) time.Duration {
 	b.advance(now)
-	rate := b.share().Of(float64(b.rate))
-	if cost > b.maxLevel() || rate <= 0 {
-		return 0, false
-	}
 	missing := max(0, float64(cost-b.level))
-	return time.Duration(missing / rate * float64(time.Second)), true
+	return time.Duration(missing / float64(b.rate) * float64(time.Second))
 }
 
 // A Loan is a share on its way from lender to borrower, with tokens in it.
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -121,12 +121,12 @@
 	s.daemons, s.engines, s.services, s.slots, s.seconds = 4, 6, 1, 3, 60
 	f := newFleet(t, s)
 	tr := f.startTraffic(20, 13, f.daemons[0], f.daemons[1])
-	// Streams of the paused owner, which its engines go on with over the
-	// takeover.
-	long := make(chan result, 4)
+	// Streams through the paused daemon, some of them on its own engines, which
+	// go on with them over the takeover.
+	long := make(chan result, 12)
 	for i := range cap(long) {
 		go func() {
-			long <- f.daemons[3].complete(context.Background(), keyTwo, fmt.Sprintf("ad-%d@1", 36+i), "long", 2500)
+			long <- f.daemons[3].complete(context.Background(), keyTwo, fmt.Sprintf("ad-%d@1", 28+i), "long", 3000)
 		}()
 	}
 	time.Sleep(2 * time.Second)
