--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -41,7 +41,7 @@
 }
 
 // TickEvery is the pause between refreshes of what peers and runners report.
-const TickEvery = 200 * time.Millisecond
+const TickEvery = 250 * time.Millisecond
 
 // A Control is the control thread. Its methods may be called from any
 // goroutine; they hand messages to the thread.
--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,95 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/engine"
+	"knapweedplank.org/plank/internal/engine/openai"
+)
+
+// A reply answers every request with the same status and body.
+type reply struct {
+	status int
+	body   string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (r reply) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: r.status, Body: io.NopCloser(strings.NewReader(r.body)), Header: http.Header{}}, nil
+}
+
+func job(offset int) plank.Job {
+	return plank.Job{ID: "r", Model: plank.Model{Adapter: "a", Version: "1"}, Path: "/v1/completions", Offset: offset}
+}
+
+func chunk(text string) string {
+	return "data: " + string(openai.TokenChunk("r", plank.Model{Adapter: "a", Version: "1"}, false, text, false)) + "\n\n"
+}
+
+// run returns the indexes of the chunks that Generate hands over.
+func run(r reply, offset int) ([]int, error) {
+	var got []int
+	err := engine.New("e", "host:1", r).Generate(context.Background(), job(offset), func(c plank.Chunk) error {
+		got = append(got, c.Index)
+		return nil
+	})
+	return got, err
+}
+
+func TestStreams(t *testing.T) {
+	other := strings.ReplaceAll(chunk("x"), "a@1", "a@2")
+	cases := []struct {
+		name   string
+		reply  reply
+		offset int
+		want   []int
+		err    any // target of errors.As, nil for success
+	}{
+		{"whole", reply{200, chunk("x") + chunk("y") + "data: [DONE]\n\n"}, 0, []int{0, 1}, nil},
+		{"repeats dropped", reply{200, "id: 0\n" + chunk("x") + "id: 0\n" + chunk("x") + "id: 1\n" + chunk("y") + "data: [DONE]\n\n"}, 0, []int{0, 1}, nil},
+		{"resumed from the start", reply{200, "id: 0\n" + chunk("x") + "id: 1\n" + chunk("y") + "data: [DONE]\n\n"}, 1, []int{1}, nil},
+		{"gap", reply{200, "id: 0\n" + chunk("x") + "id: 2\n" + chunk("z") + "data: [DONE]\n\n"}, 0, []int{0}, new(*plank.UnavailableError)},
+		{"cut", reply{200, chunk("x")}, 0, []int{0}, new(*plank.UnavailableError)},
+		{"empty", reply{200, ""}, 0, nil, new(*plank.UnavailableError)},
+		{"another version", reply{200, other}, 0, nil, new(*engine.WrongModelError)},
+		{"not loaded", reply{404, "no"}, 0, nil, new(*plank.RefusalError)},
+		{"engine error", reply{500, "no"}, 0, nil, new(*plank.UnavailableError)},
+		{"busy", reply{503, "no"}, 0, nil, new(*plank.RefusalError)},
+	}
+	for _, c := range cases {
+		got, err := run(c.reply, c.offset)
+		assert.DeepEqual(t, got, c.want)
+		if c.err == nil {
+			assert.NilError(t, err, c.name)
+			continue
+		}
+		assert.Assert(t, errors.As(err, c.err), "%s: %v", c.name, err)
+	}
+}
+
+// FuzzStream checks that whatever an engine sends, the chunks handed over count
+// up from the offset without gap or repeat.
+func FuzzStream(f *testing.F) {
+	f.Add(chunk("x")+"data: [DONE]\n\n", 0)
+	f.Add("id: 1\n"+chunk("x")+"id: 0\n"+chunk("y"), 1)
+	f.Add("id: -1\ndata: {}\n\ndata: null\n\n", 0)
+	f.Add("data:\n\nid: 9999999999999999999\n"+chunk("x"), 3)
+	f.Fuzz(func(t *testing.T, body string, offset int) {
+		if offset < 0 || offset > 1000 {
+			return
+		}
+		got, _ := run(reply{200, body}, offset)
+		for i, index := range got {
+			if index != offset+i {
+				t.Fatalf("chunks %v from offset %d", got, offset)
+			}
+		}
+	})
+}
