Avoid endpoints that refused lately; one write a message; slower heartbeats

Change: an endpoint that refused is avoided for 2 s by all requests; a changed owner costs no retry.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -24,7 +24,7 @@
 const (
 	// distantEvery is how many rounds pass between heartbeats to VMs of other
 	// failure domains.
-	distantEvery = 3
+	distantEvery = 4
 	// maxContacts bounds the VMs of other domains that this VM sends heartbeats
 	// to, so that their number does not grow with that of VMs. Each domain has
 	// at least one.
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,12 +15,12 @@
 // The times of heartbeats.
 const (
 	// BeatEvery is the pause between heartbeats to VMs of the own domain.
-	BeatEvery = time.Second
+	BeatEvery = 1250 * time.Millisecond
 	// FreshTime is how long a VM counts as reachable after a heartbeat.
-	FreshTime = 2500 * time.Millisecond
+	FreshTime = 3 * time.Second
 	// DistantFreshTime is the same for VMs of other domains, to which
 	// heartbeats go less often.
-	DistantFreshTime = 8 * time.Second
+	DistantFreshTime = 12 * time.Second
 	// ForgetTime is how long a silent VM that no record lists is kept.
 	ForgetTime = time.Minute
 )
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
@@ -41,9 +42,14 @@
 	return &Stream{conn: conn, r: bufio.NewReader(conn)}
 }
 
-// Send writes one message.
+// Send writes one message. It makes one write of it, since each write is a
+// frame with system calls of its own and wakes the receiver.
 func (s *Stream) Send(m proto.Message) error {
-	_, err := protodelim.MarshalTo(s.conn, m)
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
+		return err
+	}
+	_, err := s.conn.Write(buf.Bytes())
 	return err
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,7 @@
 	router  plank.Router
 	poison  *poison.Table
 	budget  *Budget
+	avoid   *avoidance
 	clock   plank.Clock
 	log     *logrus.Entry
 	scratch sync.Pool
@@ -45,7 +46,7 @@
 // New returns a relay.
 func New(self plank.VMID, control *ctrl.Control, hub *peer.Hub, router plank.Router, poisons *poison.Table, clock plank.Clock, log *logrus.Entry) *Relay {
 	return &Relay{
-		self: self, control: control, hub: hub, router: router, poison: poisons, budget: NewBudget(), clock: clock, log: log,
+		self: self, control: control, hub: hub, router: router, poison: poisons, budget: NewBudget(), avoid: newAvoidance(), clock: clock, log: log,
 		scratch: sync.Pool{New: func() any { return new(scratch) }},
 	}
 }
@@ -53,6 +54,7 @@
 type scratch struct {
 	candidates []plank.Candidate
 	index      []int
+	skip       []plank.EndpointID
 }
 
 // A course is the state of one job over its attempts.
@@ -106,9 +108,7 @@
 		if err == nil {
 			return nil
 		}
-		// An endpoint that refused did not begin; the deadline and the budget
-		// bound how many are asked.
-		if !isRefusal(err) {
+		if hasBegun(err) {
 			attempt++
 		}
 		if again := r.judge(ctx, c, e, err, c.job.Offset > offset); !again || attempt >= maxAttempts {
@@ -117,9 +117,12 @@
 	}
 }
 
-func isRefusal(err error) bool {
+// hasBegun reports whether the endpoint itself may have begun the job that
+// failed so. Of the others the deadline and the budget bound how many are asked.
+func hasBegun(err error) bool {
 	var refused *plank.RefusalError
-	return errors.As(err, &refused)
+	var lost *lostError
+	return !errors.As(err, &refused) && !errors.As(err, &lost)
 }
 
 // A callerError wraps an error of the caller's connection.
@@ -142,7 +145,11 @@
 	snap := r.control.Snapshot()
 	s := r.scratch.Get().(*scratch)
 	defer r.scratch.Put(s)
-	s.candidates, s.index = snap.Candidates(c.job.Model, c.base, c.skip, s.candidates, s.index)
+	s.skip = r.avoid.appendTo(append(s.skip[:0], c.skip...), r.clock.Now())
+	s.candidates, s.index = snap.Candidates(c.job.Model, c.base, s.skip, s.candidates, s.index)
+	if len(s.candidates) == 0 {
+		s.candidates, s.index = snap.Candidates(c.job.Model, c.base, c.skip, s.candidates, s.index)
+	}
 	i := r.router.Pick(s.candidates)
 	if i < 0 {
 		return ctrl.Engine{}, false
@@ -189,12 +196,18 @@
 		c.began = true
 		return false
 	case errors.As(err, &refused):
-		return isElsewhere(refused.Code) && r.mayRetry(c)
+		if isElsewhere(refused.Code) {
+			r.avoid.add(e.Endpoint.Id, r.clock.Now())
+		}
+		// A changed owner is a redirection, not a sign of overload.
+		return refused.Code == plank.CodeWrongOwner || isElsewhere(refused.Code) && r.mayRetry(c)
 	case errors.As(err, &lost):
 		// The peer is gone, not the endpoint: nothing speaks against the job.
+		r.avoid.add(e.Endpoint.Id, r.clock.Now())
 		c.began = c.began || lost.sent
 		return r.mayRetry(c)
 	case errors.As(err, &broken) && !broken.Alive:
+		r.avoid.add(e.Endpoint.Id, r.clock.Now())
 		// If the job is the cause it must not take others down with the next
 		// endpoint.
 		c.job.Alone = true
--- a/test/slopes_test.go
+++ b/test/slopes_test.go
@@ -43,7 +43,7 @@
 		{1, 6, 12, 1000, 0}, {1, 6, 12, 8000, 0}, {1, 6, 12, 24000, 0},
 		{1, 6, 12, 24000, 1}, {1, 6, 12, 24000, 4},
 		{2, 3, 9, 3000, 0}, {4, 3, 9, 3000, 0}, {8, 3, 9, 3000, 0}, {12, 3, 9, 3000, 0},
-		{1, 22, 69, 24000, 0.025},
+		{1, 22, 69, 24000, 0.025}, {2, 22, 69, 24000, 0.025},
 	}
 	for _, s := range sizes {
 		name := fmt.Sprintf("domains=%d/vms=%d/engines=%d/adapters=%d/notes=%g", s.domains, s.vms, s.engines, s.adapters, s.notes)
