--- a/cmd/knapweedplank/note.go
+++ b/cmd/knapweedplank/note.go
@@ -11,6 +11,7 @@
 
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/keys"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/status"
 	"knapweedplank.org/plank/internal/store"
 	"knapweedplank.org/plank/pkg/notes"
@@ -96,7 +97,7 @@
 			}
 		}
 		var away *plank.UnavailableError
-		if !errors.As(err, &away) || !pauseFor(ctx, retryPause) {
+		if !errors.As(err, &away) || !pause.For(ctx, retryPause) {
 			return 0, err
 		}
 	}
@@ -115,15 +116,6 @@
 
 const retryPause = 300 * time.Millisecond
 
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type noteStatusCmd struct {
 	platformFlag
 	ID      string        `arg:"" optional:"" help:"Id of the note; the newest by default."`
@@ -178,7 +170,7 @@
 		case err != nil && !errors.As(err, &away):
 			return err
 		}
-		if !pauseFor(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			if err == nil {
 				printReport(r)
 				err = errors.New("not in force yet")
--- a/engine.go
+++ b/engine.go
@@ -62,6 +62,9 @@
 	Leaving bool
 	// Resident lists the loaded models.
 	Resident []Model
+	// Serving lists the loaded models that execute requests. It is nil if the
+	// engine does not tell.
+	Serving []Model
 	// Running counts executing requests.
 	Running int
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"knapweedplank.org/plank/internal/ledger"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/member"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/policy"
@@ -286,7 +287,7 @@
 	d.entry("daemon").Info("daemon: stopping")
 	d.leaving.Store(true)
 	d.control.SetDraining()
-	pauseFor(ctx, unreadyTime)
+	pause.For(ctx, unreadyTime)
 	err := d.callerServer.Shutdown(ctx)
 	d.keeper.Load().Leave(ctx)
 	// Peers may have requests on this VM's endpoints that were forwarded before
@@ -312,13 +313,6 @@
 	d.control.Close()
 }
 
-func pauseFor(ctx context.Context, t time.Duration) {
-	select {
-	case <-time.After(t):
-	case <-ctx.Done():
-	}
-}
-
 // WaitServing waits until the daemon is ready, has a share of the limits and
 // sees the given number of engines up.
 func (d *Daemon) WaitServing(ctx context.Context, engines int) error {
@@ -333,7 +327,7 @@
 		if snap.Ready && snap.Joined && up >= engines {
 			return nil
 		}
-		pauseFor(ctx, ctrl.TickEvery)
+		pause.For(ctx, ctrl.TickEvery)
 		if ctx.Err() != nil {
 			return eris.Wrap(ctx.Err(), "wait until serving")
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,6 +16,7 @@
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/claim"
 	"knapweedplank.org/plank/internal/ctrl"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/wire"
@@ -104,7 +105,7 @@
 		}
 		f.log.WithError(err).Warn("feed: platform unavailable")
 		// Jitter spreads the VMs' return after an outage.
-		pauseFor(ctx, backoff/2+rand.N(backoff))
+		pause.For(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -247,7 +248,7 @@
 				f.log.WithError(err).Warn("feed: notes of a peer not available")
 			}
 		}
-		pauseFor(ctx, peersEvery)
+		pause.For(ctx, peersEvery)
 	}
 }
 
@@ -303,7 +304,7 @@
 			return
 		}
 		if !errors.As(err, &conflict) {
-			pauseFor(ctx, maxBackoff)
+			pause.For(ctx, maxBackoff)
 		}
 	}
 }
@@ -333,10 +334,3 @@
 	_, err = f.store.Put(ctx, key, value, o.Version)
 	return err
 }
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
 )
 
 // Prefix is where the records lie in the object API, sharded by hash.
@@ -127,7 +128,7 @@
 		case errors.As(err, &conflict):
 			// Another attempt was faster; its record tells how it stands.
 		case errors.As(err, &away):
-			if !sleep(ctx, createPause) {
+			if !pause.For(ctx, createPause) {
 				// The record may exist. As the call will not be sent, it is
 				// marked so when the platform is back.
 				go a.settle(StateUnsent, nil)
@@ -232,7 +233,7 @@
 		if err == nil {
 			return
 		}
-		if !sleep(ctx, settlePause) {
+		if !pause.For(ctx, settlePause) {
 			a.ledger.log.WithField("object", a.object).WithError(err).Error("ledger: outcome was not stored")
 			return
 		}
@@ -263,13 +264,3 @@
 	_, err = a.ledger.store.Put(ctx, a.object, value, o.Version)
 	return err
 }
-
-// sleep pauses and reports false if ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/ctrl"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/runner"
@@ -98,7 +99,7 @@
 			}
 			// An answer that began is owed whole, up to the deadline.
 			late := c.job.Offset == 0 && r.clock.Now().After(giveUp)
-			if late || !pause(ctx) {
+			if late || !pause.For(ctx, waitPause) {
 				return c.refusal(ctx)
 			}
 			continue
@@ -131,15 +132,6 @@
 func (e *callerError) Error() string { return e.err.Error() }
 func (e *callerError) Unwrap() error { return e.err }
 
-func pause(ctx context.Context) bool {
-	select {
-	case <-time.After(waitPause):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // pick chooses an engine and logs the decision.
 func (r *Relay) pick(c *course) (ctrl.Engine, bool) {
 	snap := r.control.Snapshot()
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
 )
 
 // This file defines the loading and eviction of adapters.
@@ -23,19 +24,12 @@
 		}
 		for r.wants() && ctx.Err() == nil {
 			if !r.loadOne(ctx) {
-				pauseFor(ctx, retryPause)
+				pause.For(ctx, retryPause)
 			}
 		}
 	}
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (r *Runner) wants() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,10 +90,11 @@
 
 // mayEvict reports whether evictions may be ordered. The lock is held.
 func (r *Runner) mayEvict(now time.Time) bool {
-	return now.After(r.pinned) && now.Add(orderMargin).Before(r.deps.Valid())
+	return now.Add(orderMargin).Before(r.deps.Valid())
 }
 
-// idleSlots lists the models that nobody uses or waits for. The lock is held.
+// idleSlots lists the models that nobody uses or waits for, an earlier owner's
+// callers included. The lock is held.
 func (r *Runner) idleSlots(now time.Time) ([]plank.Model, []plank.Slot) {
 	wanted := make(map[plank.Model]bool)
 	for _, w := range r.waiting {
@@ -108,7 +103,7 @@
 	var models []plank.Model
 	var slots []plank.Slot
 	for m, s := range r.slots {
-		if s.inUse > 0 || wanted[m] && !s.draining {
+		if s.inUse > 0 || s.foreign && now.Before(r.pinned) || wanted[m] && !s.draining {
 			continue
 		}
 		models = append(models, m)
@@ -131,6 +126,9 @@
 		if s.draining {
 			return
 		}
+		if s.foreign && now.Before(r.pinned) {
+			continue
+		}
 		if victim == nil || aged(s, now) < aged(victim, now) {
 			victim = s
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -87,8 +87,8 @@
 
 	mu   sync.Mutex
 	term plank.Term
-	// pinned is until when no model is evicted, because requests of an earlier
-	// owner may still run.
+	// pinned is until when requests of an earlier owner may still run on the
+	// models that were loaded as this runner began.
 	pinned time.Time
 	slots  map[plank.Model]*slot
 	// loading is the model whose load is under way, if any.
@@ -106,6 +106,7 @@
 	leaving   bool // the endpoint takes no new work
 	closing   bool // this VM gives the endpoint up
 	lastOrder time.Time
+	began     time.Time           // when this runner took the engine over
 	broken    []plank.Fingerprint // ran as the connection broke
 	check     *crashCheck         // under way, or nil
 	idle      chan struct{}       // closed once closing and nothing runs
@@ -122,6 +123,8 @@
 	uses     float64 // aged count, as of lastUse
 	lastUse  time.Time
 	loadedAt time.Time
+	// foreign slots may still serve requests of an earlier owner.
+	foreign bool
 	// draining slots get no new requests, so that they can be evicted.
 	draining bool
 }
@@ -151,7 +154,7 @@
 	r := &Runner{
 		opts: opts, deps: deps, term: term, pinned: pinned,
 		slots: make(map[plank.Model]*slot), failures: make(map[plank.Model]int),
-		queue: opts.Queue, lastOrder: deps.Clock.Now(), waiting: make(map[uint64]*waiter), running: make(map[uint64]*waiter),
+		queue: opts.Queue, lastOrder: deps.Clock.Now(), began: deps.Clock.Now(), waiting: make(map[uint64]*waiter), running: make(map[uint64]*waiter),
 		idle: make(chan struct{}), wake: make(chan struct{}, 1), lookNow: make(chan struct{}, 1), cancel: cancel,
 	}
 	r.done.Add(2)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -187,10 +187,11 @@
 	time.Sleep(settle)
 	orders, _ := e.count()
 	assert.Equal(t, orders, 0)
-	// Once the engine reports that it runs nothing, and had time to say
-	// otherwise, evictions go on.
+	// Once the engine reports that one of them no longer serves, and had time
+	// to say otherwise, that one may go.
 	e.mu.Lock()
-	e.report.Running = 0
+	e.report.Serving = []plank.Model{model(1)}
+	e.resident[model(1)]++ // evicting it would fail the test
 	e.mu.Unlock()
 	wait(t, "loaded", func() bool { orders, _ := e.count(); return orders == 2 })
 }
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
 )
 
 // This file defines how a runner follows its engine's health, restarts and
@@ -60,6 +61,9 @@
 	switch {
 	case r.boot == "":
 		r.adopt(report, asked)
+		for _, s := range r.slots {
+			s.foreign = true
+		}
 	case r.boot != report.Boot:
 		r.restarted(report)
 	case asked.Sub(r.lastOrder) > reportAge && r.loading == (plank.Model{}):
@@ -71,18 +75,25 @@
 		r.leaving = true
 		r.refuseWaiting(plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is leaving", r.opts.Endpoint))
 	}
-	if report.Running == 0 && len(r.running) == 0 && !r.pinned.IsZero() && asked.Sub(r.lastOrder) > reportAge {
-		r.unpin(asked)
-	}
+	r.release(report, asked)
 	r.schedule()
 	r.mu.Unlock()
 }
 
-// unpin ends the protection of an earlier owner's requests: the engine runs
-// nothing, and had time to say otherwise. The lock is held.
-func (r *Runner) unpin(asked time.Time) {
-	if asked.Before(r.pinned) {
-		r.pinned = asked
+// release ends the protection of models that an earlier owner's requests no
+// longer use: the engine had time to say that they do, and this runner did not
+// use them meanwhile. The lock is held.
+func (r *Runner) release(report plank.EngineReport, asked time.Time) {
+	if asked.Sub(r.began) <= reportAge {
+		return
+	}
+	idle := report.Running == 0
+	for m, s := range r.slots {
+		quiet := s.inUse == 0 && asked.Sub(s.lastUse) > reportAge
+		unused := report.Serving != nil && !slices.Contains(report.Serving, m)
+		if s.foreign && (idle || quiet && unused) {
+			s.foreign = false
+		}
 	}
 }
 
@@ -159,7 +170,7 @@
 func (r *Runner) runCheck(c *crashCheck, boot plank.BootID) {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTime)
 	defer cancel()
-	pauseFor(ctx, gatherTime)
+	pause.For(ctx, gatherTime)
 	for ctx.Err() == nil {
 		asked := r.deps.Clock.Now()
 		report, err := r.deps.Engine.Report(ctx)
@@ -168,7 +179,7 @@
 			r.endCheck(c, report, asked)
 			return
 		}
-		pauseFor(ctx, checkEvery)
+		pause.For(ctx, checkEvery)
 	}
 	r.endCheck(c, plank.EngineReport{}, time.Time{})
 }
--- a/pkg/notes/catalog.go
+++ b/pkg/notes/catalog.go
@@ -135,6 +135,17 @@
 	return DefaultPatience
 }
 
+// LongestPatience returns the longest that any caller waits at any hour.
+func (c *Catalog) LongestPatience() time.Duration {
+	longest := DefaultPatience
+	for _, p := range c.Patience {
+		for _, level := range p.Hours {
+			longest = max(longest, time.Duration(level.Seconds*float64(time.Second)))
+		}
+	}
+	return longest
+}
+
 // Weight returns the workspace's share of service relative to the others.
 func (c *Catalog) Weight(id plank.WorkspaceID) float64 {
 	if w := c.Workspaces[string(id)]; w.Weight > 0 {
