--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -159,7 +159,7 @@
 			add(p.VM, p.Address)
 		}
 	}
-	if distant {
+	if distant || len(peers) == 0 {
 		for _, seed := range b.seeds {
 			if !slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Address == seed }) {
 				add("", seed)
--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -75,7 +75,6 @@
 		links []notes.Link
 		raw   [][]byte
 	}
-	headMsg    struct{ number plank.NoteNumber }
 	listMsg    struct{ list PlatformList }
 	drainMsg   struct{}
 	catalogMsg struct{ catalog *notes.Catalog }
@@ -135,9 +134,6 @@
 		c.takeLinks(m.links, m.raw)
 	case catalogMsg:
 		c.takeCatalog(m.catalog)
-	case headMsg:
-		c.known = max(c.known, m.number)
-		c.confirmed = true
 	case listMsg:
 		c.takeList(m.list)
 	case drainMsg:
--- a/internal/ctrl/notes.go
+++ b/internal/ctrl/notes.go
@@ -18,8 +18,14 @@
 // TakeCatalog hands over the catalog of a peer that no longer has all links.
 func (c *Control) TakeCatalog(catalog *notes.Catalog) { c.send(catalogMsg{catalog}) }
 
-// TakeHead tells the number of the last note that the platform or a peer knows.
-func (c *Control) TakeHead(n plank.NoteNumber) { c.send(headMsg{n}) }
+// Confirm tells that all notes which the platform knows were handed over. It
+// returns once they are in force.
+func (c *Control) Confirm() {
+	c.call(func() {
+		c.confirmed = true
+		c.publish()
+	})
+}
 
 // takeLinks applies the links that follow the catalog. Others are dropped: a
 // number is never taken twice, and never out of order.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -49,6 +49,10 @@
 	mu      sync.Mutex
 	records map[plank.DomainID]versioned
 
+	// snapshot is the number of the last snapshot seen. It belongs to the
+	// goroutine that watches the platform.
+	snapshot plank.NoteNumber
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -111,12 +115,18 @@
 }
 
 func (f *Feed) listAndWatch(ctx context.Context, backoff *time.Duration) error {
+	if err := f.loadSnapshot(ctx); err != nil {
+		return err
+	}
 	revision, err := f.list(ctx)
 	if err != nil {
 		return err
 	}
+	if err := f.saveSnapshot(ctx); err != nil {
+		return err
+	}
 	*backoff = firstBackoff
-	for relist := time.Now().Add(relistEvery); time.Now().Before(relist); {
+	for relist := time.Now().Add(relistEvery/2 + rand.N(relistEvery)); time.Now().Before(relist); {
 		changes, next, err := f.store.Watch(ctx, prefixes(), revision)
 		if err != nil {
 			return err
@@ -132,6 +142,38 @@
 	return nil
 }
 
+// loadSnapshot spares a VM without notes the reading of all of them.
+func (f *Feed) loadSnapshot(ctx context.Context) error {
+	if f.control.Snapshot().Catalog.Number > 0 {
+		return nil
+	}
+	c, err := notes.ReadSnapshot(ctx, f.store)
+	if err != nil || c == nil {
+		return err
+	}
+	f.control.TakeCatalog(c)
+	return nil
+}
+
+// saveSnapshot writes a snapshot when the last one is notes.SnapshotEvery old.
+// VMs look at times of their own, so that mostly one of them writes it.
+func (f *Feed) saveSnapshot(ctx context.Context) error {
+	c := f.control.Snapshot().Catalog
+	if c.Number < f.snapshot+notes.SnapshotEvery {
+		return nil
+	}
+	head, _, err := notes.ReadHead(ctx, f.store)
+	if err != nil {
+		return err
+	}
+	f.snapshot = head.Number
+	if c.Number < head.Number+notes.SnapshotEvery {
+		return nil
+	}
+	f.log.WithField("number", c.Number).Info("feed: snapshot written")
+	return notes.WriteSnapshot(ctx, f.store, c)
+}
+
 // list reads everything that the feed follows, notes only after those in force.
 func (f *Feed) list(ctx context.Context) (plank.Revision, error) {
 	lowest := plank.Revision(0)
@@ -155,7 +197,7 @@
 			after = objects[len(objects)-1].Key
 		}
 	}
-	f.control.TakeHead(0) // what the list held is known by now
+	f.control.Confirm()
 	return lowest, nil
 }
 
@@ -260,11 +302,11 @@
 		return err
 	}
 	if len(reply.GetCatalog()) > 0 {
-		var c notes.Catalog
-		if err := json.Unmarshal(reply.GetCatalog(), &c); err != nil {
+		c, err := notes.DecodeCatalog(reply.GetCatalog())
+		if err != nil {
 			return err
 		}
-		f.control.TakeCatalog(&c)
+		f.control.TakeCatalog(c)
 	}
 	var links []notes.Link
 	for _, raw := range reply.GetLinks() {
@@ -283,7 +325,7 @@
 	links, catalog := f.control.LinksAfter(plank.NoteNumber(req.GetAfter()), pageLinks)
 	reply := &wire.NotesReply{Links: links}
 	if catalog != nil {
-		data, err := json.Marshal(catalog)
+		data, err := notes.EncodeCatalog(catalog)
 		if err != nil {
 			f.log.WithError(err).Error("feed: catalog cannot be encoded")
 			return
--- a/pkg/notes/catalog.go
+++ b/pkg/notes/catalog.go
@@ -22,7 +22,7 @@
 	Endpoints  map[string]Endpoint
 	Domains    map[string]Domain
 	// KeyByHash holds the same keys as Keys.
-	KeyByHash map[string]Key
+	KeyByHash map[string]Key `json:"-"`
 	// changed holds the number of the last note that touched an item, by its
 	// qualified name. Only catalogs of a Chain keep it.
 	changed map[string]plank.NoteNumber
@@ -40,14 +40,19 @@
 	next.Endpoints = applySection(c.Endpoints, n.Endpoints)
 	next.Domains = applySection(c.Domains, n.Domains)
 	if len(n.Keys.Set)+len(n.Keys.Withdraw) > 0 {
-		next.KeyByHash = make(map[string]Key, len(next.Keys))
-		for _, key := range next.Keys {
-			next.KeyByHash[key.Hash] = key
-		}
+		next.indexKeys()
 	}
 	return &next
 }
 
+// indexKeys fills KeyByHash from Keys.
+func (c *Catalog) indexKeys() {
+	c.KeyByHash = make(map[string]Key, len(c.Keys))
+	for _, key := range c.Keys {
+		c.KeyByHash[key.Hash] = key
+	}
+}
+
 // applySection returns items with the section's changes, leaving items as it is.
 func applySection[T Item](items map[string]T, s Section[T]) map[string]T {
 	if len(s.Set)+len(s.Withdraw) == 0 {
--- a/pkg/notes/chain.go
+++ b/pkg/notes/chain.go
@@ -126,6 +126,7 @@
 		if err != nil {
 			return 0, eris.Wrap(err, "append note")
 		}
+		c.append(l)
 		return l.Number, nil
 	}
 }
--- a/pkg/notes/notes_test.go
+++ b/pkg/notes/notes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,6 +94,42 @@
 	assert.Equal(t, changed.Winner, plank.NoteID("one"))
 }
 
+// TestSnapshotRoundTrip stores a catalog of several shards, losing answers on
+// the way, and reads it back.
+func TestSnapshotRoundTrip(t *testing.T) {
+	s := memory.New()
+	ctx := context.Background()
+	n := &notes.Note{Id: "many"}
+	for i := range 30_000 {
+		n.Adapters.Set = append(n.Adapters.Set, notes.Adapter{Id: plank.AdapterID(fmt.Sprint("adapter-", i)), Version: "1", Base: "base"})
+	}
+	n.Keys.Set = []notes.Key{{Id: "k", Hash: "h", Workspace: "w"}}
+	c := (&notes.Catalog{Number: 41}).Apply(n)
+	none, err := notes.ReadSnapshot(ctx, s)
+	assert.NilError(t, err)
+	assert.Assert(t, none == nil)
+	calls := 0
+	s.Fate = func() memory.Fate {
+		calls++
+		if calls%2 == 0 && calls < 6 {
+			return memory.LostAnswer
+		}
+		return memory.Done
+	}
+	for notes.WriteSnapshot(ctx, s, c) != nil {
+	}
+	got, err := notes.ReadSnapshot(ctx, s)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Adapters, c.Adapters)
+	assert.DeepEqual(t, got.KeyByHash, c.KeyByHash)
+	assert.Equal(t, got.Number, c.Number)
+	// An earlier catalog never replaces a later one.
+	assert.NilError(t, notes.WriteSnapshot(ctx, s, &notes.Catalog{Number: 7}))
+	head, _, err := notes.ReadHead(ctx, s)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Number, c.Number)
+}
+
 // FuzzParse checks that whatever is accepted survives being stored.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(fine))
--- /dev/null
+++ b/test/snap_test.go
@@ -0,0 +1,52 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/stand/objapi"
+	"knapweedplank.org/plank/internal/store"
+	"knapweedplank.org/plank/pkg/notes"
+)
+
+// TestFreshVMReadsSnapshot starts VMs on a chain that is longer than one snapshot
+// apart. The first ones write a snapshot, and one that starts alone later serves
+// by it with few calls.
+func TestFreshVMReadsSnapshot(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, small())
+	ctx := context.Background()
+	s := store.New(f.platform)
+	chain := notes.NewChain(s)
+	assert.NilError(t, chain.Refresh(ctx))
+	for i := range notes.SnapshotEvery {
+		n := &notes.Note{Id: plank.NoteID(fmt.Sprintf("n-%d", i)), Base: chain.Catalog().Number}
+		n.Adapters.Set = []notes.Adapter{{Id: "busy", Version: "1", Base: "base", Source: fmt.Sprint(i)}}
+		_, err := chain.Append(ctx, n, plank.Token(n.Id))
+		assert.NilError(t, err)
+	}
+	eventually(t, 10*time.Second, "in force", f.inForce)
+	for _, v := range f.daemons {
+		v.proc.kill()
+	}
+	// A restarted VM finds no snapshot, reads all notes and writes one.
+	f.daemons[0].start()
+	eventually(t, 20*time.Second, "snapshot written", func() bool {
+		head, _, err := notes.ReadHead(ctx, s)
+		return err == nil && head.Number > notes.SnapshotEvery
+	})
+	f.daemons[0].proc.kill()
+	before := getJSON[objapi.Stats](t, f.platform, "/test/stats").Lists
+	f.daemons[1].start()
+	eventually(t, 20*time.Second, "ready by the snapshot", func() bool {
+		st, ok := f.daemons[1].status()
+		return ok && st.Ready && st.Applied == notes.SnapshotEvery+1
+	})
+	lists := getJSON[objapi.Stats](t, f.platform, "/test/stats").Lists - before
+	t.Logf("%d lists", lists)
+	assert.Assert(t, lists < 20, "%d lists", lists)
+}
