Heartbeats at once when adapters or endpoints change

Cause: scripts/demo loaded the same adapter in each of three domains, because domains tell each other every 5 s only. Change: news of the state goes out within 0.25 s.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -36,7 +36,10 @@
 	// idleTime is how long a stream may carry no heartbeat.
 	idleTime = 10 * time.Second
 	// reportTime is how long what a VM reports of itself is used again.
-	reportTime = 300 * time.Millisecond
+	reportTime = 200 * time.Millisecond
+	// newsEvery is the pause between looks for news that is worth a heartbeat
+	// at once: which adapters are loaded, and which endpoints take no work.
+	newsEvery = 250 * time.Millisecond
 )
 
 // A Source tells what a VM reports of itself.
@@ -93,11 +96,16 @@
 // run sends a round of heartbeats every BeatEvery. A peer that is slow to
 // answer does not hold up the others.
 func (b *Beater) run(ctx context.Context) {
-	ticker := time.NewTicker(member.BeatEvery)
+	ticker, news := time.NewTicker(member.BeatEvery), time.NewTicker(newsEvery)
 	defer ticker.Stop()
+	defer news.Stop()
 	busy := newBusySet()
-	for round := 0; ; round++ {
-		for _, t := range b.targets(round%distantEvery == 0) {
+	told := uint64(0) // version of the state that went out to all
+	for round := 0; ; {
+		report, _ := b.refresh()
+		isNews := report.GetStateSeq() != told
+		told = report.GetStateSeq()
+		for _, t := range b.targets(isNews || round%distantEvery == 0, isNews) {
 			if !busy.enter(t.address) {
 				continue
 			}
@@ -107,10 +115,17 @@
 			}()
 		}
 		b.table.Forget(b.clock.Now())
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+		for waiting := true; waiting; {
+			select {
+			case <-ticker.C:
+				round++
+				waiting = false
+			case <-news.C:
+				report, _ := b.refresh()
+				waiting = report.GetStateSeq() == told
+			case <-ctx.Done():
+				return
+			}
 		}
 	}
 }
@@ -123,8 +138,9 @@
 
 // targets lists the VMs to send a heartbeat to: of the own domain those with a
 // higher name, since one exchange serves both sides, and those that are silent;
-// and if distant, contacts in other domains.
-func (b *Beater) targets(distant bool) []target {
+// and if distant, contacts in other domains. With all, none of the own domain is
+// left out.
+func (b *Beater) targets(distant, all bool) []target {
 	var targets []target
 	add := func(vm plank.VMID, address string) {
 		known := slices.ContainsFunc(targets, func(t target) bool { return t.address == address })
@@ -136,7 +152,7 @@
 	peers := b.table.Peers()
 	serves := func(vm plank.VMID) bool {
 		i := slices.IndexFunc(peers, func(p member.Peer) bool { return p.VM == vm })
-		return vm < b.self.VM && i >= 0 && now.Sub(peers[i].Heard) < member.FreshTime
+		return !all && vm < b.self.VM && i >= 0 && now.Sub(peers[i].Heard) < member.FreshTime
 	}
 	records := b.source.Records()
 	contacts := max(1, maxContacts/max(1, len(records)-1))
