Pace heartbeats by the size of the domain

Cause: the slopes gave 1.25% of a core for a domain of 22 VMs with 69 engines and 24,000 adapters, and 1.39% with a second such domain; 16 domains would have cost about 1.6%, above the 1.3% allowed. Change: a pause of 80 ms for each VM of the domain, between 1.25 and 2 s; every eighth round to other domains where they are more than four. Today's sizes keep 1.25 s. A silent VM counts as unreachable after 4 s instead of 3. Ruled out: fewer contacts (one a domain is the least).

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -23,8 +23,11 @@
 // The size and pace of heartbeats.
 const (
 	// distantEvery is how many rounds pass between heartbeats to VMs of other
-	// failure domains.
+	// failure domains, and manyEvery where there are more than few others.
+	// Changes of state go out at once all the same.
 	distantEvery = 4
+	manyEvery    = 8
+	few          = 4
 	// maxContacts bounds the VMs of other domains that this VM sends heartbeats
 	// to, so that their number does not grow with that of VMs. Each domain has
 	// at least one.
@@ -96,8 +99,7 @@
 // run sends a round of heartbeats every BeatEvery. A peer that is slow to
 // answer does not hold up the others.
 func (b *Beater) run(ctx context.Context) {
-	ticker, news := time.NewTicker(member.BeatEvery), time.NewTicker(newsEvery)
-	defer ticker.Stop()
+	news := time.NewTicker(newsEvery)
 	defer news.Stop()
 	busy := newBusySet()
 	told := uint64(0) // version of the state that went out to all
@@ -105,7 +107,8 @@
 		report, _ := b.refresh()
 		isNews := report.GetStateSeq() != told
 		told = report.GetStateSeq()
-		for _, t := range b.targets(isNews || round%distantEvery == 0, isNews) {
+		every, distance := b.pace()
+		for _, t := range b.targets(isNews || round%distance == 0, isNews) {
 			if !busy.enter(t.address) {
 				continue
 			}
@@ -115,21 +118,40 @@
 			}()
 		}
 		b.table.Forget(b.clock.Now())
+		timer := time.NewTimer(every)
 		for waiting := true; waiting; {
 			select {
-			case <-ticker.C:
+			case <-timer.C:
 				round++
 				waiting = false
 			case <-news.C:
 				report, _ := b.refresh()
 				waiting = report.GetStateSeq() == told
 			case <-ctx.Done():
+				timer.Stop()
 				return
 			}
 		}
+		timer.Stop()
 	}
 }
 
+// pace returns the pause between heartbeats in the own domain, and how many
+// rounds pass between those to others.
+func (b *Beater) pace() (every time.Duration, distance int) {
+	every, distance = member.BeatEvery, distantEvery
+	records := b.source.Records()
+	if len(records)-1 > few {
+		distance = manyEvery
+	}
+	for _, r := range records {
+		if r.Domain == b.self.Domain {
+			every = max(every, time.Duration(len(r.Members))*member.BeatPerVM)
+		}
+	}
+	return min(every, member.MaxBeat), distance
+}
+
 // A target is a VM to send a heartbeat to; the VM of a seed is not known.
 type target struct {
 	vm      plank.VMID
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -14,13 +14,19 @@
 
 // The times of heartbeats.
 const (
-	// BeatEvery is the pause between heartbeats to VMs of the own domain.
+	// BeatEvery is the least pause between heartbeats to VMs of the own domain.
 	BeatEvery = 1250 * time.Millisecond
+	// BeatPerVM is the pause for each VM of the domain where that is longer, so
+	// that the cost of heartbeats does not grow with the domain beyond that.
+	BeatPerVM = 80 * time.Millisecond
+	// MaxBeat bounds the pause, since leases need several heartbeats within
+	// their time of consent.
+	MaxBeat = 2 * time.Second
 	// FreshTime is how long a VM counts as reachable after a heartbeat.
-	FreshTime = 3 * time.Second
+	FreshTime = 4 * time.Second
 	// DistantFreshTime is the same for VMs of other domains, to which
 	// heartbeats go less often.
-	DistantFreshTime = 12 * time.Second
+	DistantFreshTime = 30 * time.Second
 	// ForgetTime is how long a silent VM that no record lists is kept.
 	ForgetTime = time.Minute
 )
