Heartbeats: acknowledge the last one and not the highest; plots

Cause, found by reading: a VM that restarts sees its peers count from 1 anew, and acknowledged the highest number, so its consent was missing for as many heartbeats as the earlier run had had. TestConsentEndsWithTheRun fails without the change. kpload plot draws served shares over time.

--- a/cmd/kpload/main.go
+++ b/cmd/kpload/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kong"
 	"knapweedplank.org/plank/internal/bench"
@@ -12,7 +13,27 @@
 
 // A cli holds the commands and their flags.
 type cli struct {
-	Run runCmd `cmd:"" help:"Run an experiment with each of its policies and print one table."`
+	Run  runCmd  `cmd:"" help:"Run an experiment with each of its policies and print one table."`
+	Plot plotCmd `cmd:"" help:"Draw results over time."`
+}
+
+type plotCmd struct {
+	Files  []string `arg:"" help:"Results in JSON, as run wrote them."`
+	Format string   `default:"svg" enum:"svg,png" help:"Format of the plots."`
+}
+
+// Run draws a plot beside each file.
+func (c *plotCmd) Run() error {
+	for _, path := range c.Files {
+		results, err := bench.ReadResults(path)
+		if err != nil {
+			return err
+		}
+		if err := bench.PlotServed(results, strings.TrimSuffix(path, ".json")+"."+c.Format); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 type runCmd struct {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -117,7 +117,11 @@
 	p.Applied = max(p.Applied, plank.NoteNumber(hb.GetApplied()))
 	p.Leaving = hb.GetLeaving()
 	p.Heard = now
-	p.lastBeat = max(p.lastBeat, hb.GetBeat())
+	if hb.GetBeat() != 0 {
+		// Not the highest: a sender that learns of this VM's restart begins to
+		// count anew.
+		p.lastBeat = hb.GetBeat()
+	}
 	if hb.GetSeenBootHash() == BootHash(myBoot) {
 		p.seenSeq = hb.GetSeenSeq()
 		s := p.sent[hb.GetSeenBeat()%keptBeats]
