--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -27,7 +27,7 @@
 	callTimeout = 2 * time.Second
 	// firstTimeout bounds the wait for the call message of an accepted stream.
 	firstTimeout = 5 * time.Second
-	keepAlive    = 15 * time.Second
+	keepAlive    = time.Minute
 	// MaxMessage bounds one message.
 	MaxMessage = 16 << 20
 )
