--- a/cmd/knapweedplank/note.go
+++ b/cmd/knapweedplank/note.go
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	s := store.New(c.Platform)
+	s := store.New(c.Platform, nil)
 	number, err := appendNote(ctx, s, n, c.Latest)
 	if err != nil {
 		return err
@@ -128,7 +128,7 @@
 func (c *noteStatusCmd) Run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	s := store.New(c.Platform)
+	s := store.New(c.Platform, nil)
 	if c.Wait {
 		return waitInForce(ctx, s, plank.NoteID(c.ID))
 	}
@@ -186,7 +186,7 @@
 
 // Run lists the notes.
 func (c *noteListCmd) Run() error {
-	chain := notes.NewChain(store.New(c.Platform))
+	chain := notes.NewChain(store.New(c.Platform, nil))
 	if err := chain.Refresh(context.Background()); err != nil {
 		return err
 	}
--- a/cmd/knapweedplank/serve.go
+++ b/cmd/knapweedplank/serve.go
@@ -32,6 +32,10 @@
 	// default keeps the daemon within its memory for little processor time.
 	debug.SetGCPercent(gcPercent)
 	d, err := daemon.New(cfg, logs.New(cfg.Logs, os.Stderr), daemon.Hooks{})
+	var setting *config.Error
+	if errors.As(err, &setting) {
+		return setting.In(c.Settings)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -133,7 +133,7 @@
 
 // applyNotes sets everything that the experiment uses.
 func (f *fleet) applyNotes(ctx context.Context) error {
-	chain := notes.NewChain(store.New(f.platAddr))
+	chain := notes.NewChain(store.New(f.platAddr, nil))
 	if _, err := chain.Append(ctx, f.firstNote(), "bench"); err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -116,6 +116,17 @@
 	return b.String()
 }
 
+// In returns the fault placed in a settings file, for faults that show only when
+// the settings are used, such as an address in use.
+func (e *Error) In(path string) *Error {
+	out := *e
+	out.File = path
+	if text, err := os.ReadFile(path); err == nil {
+		out.Line = fieldLine(text, e.Field)
+	}
+	return &out
+}
+
 // Load reads and checks a settings file. It returns an *Error.
 func Load(path string) (Config, error) {
 	text, err := os.ReadFile(path)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/beat"
 	"knapweedplank.org/plank/internal/claim"
@@ -39,6 +40,13 @@
 	"knapweedplank.org/plank/pkg/notes"
 )
 
+// The budget of calls to the platform. It is far above what a daemon needs in any
+// state, and bounds what a fault in it could do to the platform.
+const (
+	callsPerSecond = 40
+	callsBurst     = 120
+)
+
 // Hooks let a load tool in the same process observe a daemon.
 type Hooks struct {
 	// Waited, if not nil, is told how long each dispatched request waited.
@@ -81,7 +89,7 @@
 func New(cfg config.Config, log *logrus.Logger, hooks Hooks) (*Daemon, error) {
 	d := &Daemon{
 		cfg: cfg, log: log, hooks: hooks, clock: plank.SystemClock{}, policy: policy.New(cfg.Policies),
-		store: store.New(cfg.Platform), table: member.New(cfg.VM), keys: keys.New(), metrics: metrics.NewRegistry(),
+		store: store.New(cfg.Platform, rate.NewLimiter(callsPerSecond, callsBurst)), table: member.New(cfg.VM), keys: keys.New(), metrics: metrics.NewRegistry(),
 		engines: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	if _, err := notes.NewChain(store.New(platform)).Append(ctx, Sample(engines, bookings), "dev"); err != nil {
+	if _, err := notes.NewChain(store.New(platform, nil)).Append(ctx, Sample(engines, bookings), "dev"); err != nil {
 		return nil, err
 	}
 	cfg := config.Default()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,18 +147,25 @@
 		return ctrl.Engine{}, false
 	}
 	e := snap.Engines[s.index[i]]
-	reason := "load"
-	if s.candidates[i].Resident {
-		reason = "resident"
-	}
 	r.log.WithFields(logrus.Fields{
 		"request": c.job.ID, "workspace": c.job.Workspace, "model": c.job.Model.String(), "endpoint": e.Endpoint.Id,
-		"owner": e.Owner, "policy": r.router.Name(), "reason": reason, "outstanding": s.candidates[i].Outstanding,
+		"owner": e.Owner, "policy": r.router.Name(), "reason": reason(&s.candidates[i]), "outstanding": s.candidates[i].Outstanding,
 		"offset": c.job.Offset, "deadline": c.job.Deadline.Format(time.RFC3339Nano),
 	}).Info("relay: routed")
 	return e, true
 }
 
+// reason tells what speaks for a candidate, for the log.
+func reason(c *plank.Candidate) string {
+	switch {
+	case c.Resident:
+		return "resident"
+	case c.Loading:
+		return "loading"
+	}
+	return "load"
+}
+
 // try runs the job on one engine.
 func (r *Relay) try(ctx context.Context, c *course, e ctrl.Engine) error {
 	e.Sent.Add(1)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 	"knapweedplank.org/plank"
 )
 
@@ -30,17 +31,22 @@
 
 // A Client speaks the platform's HTTP and JSON object API.
 type Client struct {
-	base  string
-	http  *http.Client
-	calls atomic.Uint64
+	base   string
+	http   *http.Client
+	budget *rate.Limiter // nil for none
+	calls  atomic.Uint64
 }
 
 var _ plank.Store = (*Client)(nil)
 
-// New returns a client of the object API at addr (host:port).
-func New(addr string) *Client {
+// New returns a client of the object API at addr (host:port). budget bounds its
+// calls; nil is no bound.
+func New(addr string, budget *rate.Limiter) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: transport}}
+	return &Client{
+		base: "http://" + addr, http: &http.Client{Transport: transport},
+		budget: budget,
+	}
 }
 
 // Calls returns the number of calls made, a watch counted as one.
@@ -116,6 +122,11 @@
 // call makes one call and decodes the answer of a success. Statuses other than
 // success, not found and conflict are errors.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) (int, error) {
+	if c.budget != nil {
+		if err := c.budget.Wait(ctx); err != nil {
+			return 0, eris.Wrap(err, "wait for the budget of calls")
+		}
+	}
 	c.calls.Add(1)
 	var r io.Reader
 	if body != nil {
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -91,7 +91,7 @@
 	value, err := json.Marshal(l)
 	assert.NilError(f.t, err)
 	ctx := context.Background()
-	s := store.New(f.platform)
+	s := store.New(f.platform, nil)
 	o, err := s.Get(ctx, ctrl.ListKey)
 	assert.NilError(f.t, err)
 	_, err = s.Put(ctx, ctrl.ListKey, value, o.Version)
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -192,7 +192,7 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	chain := notes.NewChain(store.New(f.platform))
+	chain := notes.NewChain(store.New(f.platform, nil))
 	assert.NilError(f.t, chain.Refresh(ctx))
 	n.Base = chain.Catalog().Number
 	f.notes++
@@ -206,7 +206,7 @@
 
 // inForce reports whether the last note is in force on every VM.
 func (f *fleet) inForce() bool {
-	r, err := status.Read(context.Background(), store.New(f.platform), "")
+	r, err := status.Read(context.Background(), store.New(f.platform, nil), "")
 	return err == nil && r.InForce
 }
 
--- a/test/notes_test.go
+++ b/test/notes_test.go
@@ -149,7 +149,7 @@
 
 // tryNote makes one operator's try and returns it as an operation.
 func (f *fleet) tryNote(rng *rand.Rand, op, i int, began time.Time) porcupine.Operation {
-	s := store.New(f.platform)
+	s := store.New(f.platform, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	chain := notes.NewChain(s)
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -94,6 +97,54 @@
 	f.checkEngines()
 }
 
+// TestSlowAndLargeCallers sends a header that never ends, one that is too large
+// and a body that stops half-way: each ends by its limit, and others are served.
+func TestSlowAndLargeCallers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, small())
+	v := f.daemons[0]
+	open := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", v.callers)
+		assert.NilError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = conn.Write([]byte(text))
+		assert.NilError(t, err)
+		return conn
+	}
+	slow := open("POST /v1/completions HTTP/1.1\r\nHost: x\r\n")
+	large := open("GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Large: " + strings.Repeat("x", 40<<10) + "\r\n\r\n")
+	head := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + keyOne + "\r\nContent-Length: 100\r\n\r\n"
+	half := open(head + `{"model":`)
+	assert.Assert(t, v.complete(context.Background(), keyOne, "ad-1@1", "x", 2).whole)
+	answer := func(conn net.Conn) string {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
+		text, err := io.ReadAll(conn)
+		assert.NilError(t, err, "the daemon did not end the connection")
+		return string(text)
+	}
+	assert.Assert(t, strings.Contains(answer(large), "431"))
+	answer(slow)
+	assert.Assert(t, strings.Contains(answer(half), "not_run"))
+	for _, s := range f.engineStats() {
+		assert.Equal(t, s.Cancelled, 0)
+	}
+}
+
+// TestAddressInUse starts a daemon on an address that another listens on.
+func TestAddressInUse(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	path := filepath.Join(t.TempDir(), "s.json")
+	writeFile(t, path, fmt.Sprintf("{\"VM\": \"v\", \"Domain\": \"d\", \"PlainPeers\": true, \"Platform\": \"127.0.0.1:1\",\n\"Callers\": %q}", ln.Addr()))
+	out, err := exec.Command(filepath.Join(binaries, "knapweedplank"), "serve", "--settings", path).CombinedOutput()
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(err, &exit))
+	assert.Equal(t, exit.ExitCode(), 2)
+	assert.Assert(t, strings.Contains(string(out), "s.json:2: Callers: listen"), "%s", out)
+}
+
 // TestCommandLine checks the exit codes and messages that operators rely on.
 func TestCommandLine(t *testing.T) {
 	t.Parallel()
--- a/test/snap_test.go
+++ b/test/snap_test.go
@@ -20,7 +20,7 @@
 	t.Parallel()
 	f := newFleet(t, small())
 	ctx := context.Background()
-	s := store.New(f.platform)
+	s := store.New(f.platform, nil)
 	chain := notes.NewChain(s)
 	assert.NilError(t, chain.Refresh(ctx))
 	for i := range notes.SnapshotEvery {
