Planned stops in an outage; leases between the two writes of a restart

Causes, found by reading: a VM that was stopped while the platform was away never drained, waited for its whole shutdown time and cut what was forwarded to it; and a VM that died between writing its new lease and its place in the record could not be fenced, so its share was stuck.

--- a/internal/lease/fence.go
+++ b/internal/lease/fence.go
@@ -41,10 +41,13 @@
 			continue
 		}
 		absent := listed != nil && !slices.Contains(listed, m.VM)
-		// A lease of another run than the member's is about to be joined anew.
-		if l.Boot != m.Boot || !k.suspector.mayTake(m.VM, o.Version, heard, now) || !l.mayFence(k.self.VM) && !absent {
+		if !k.suspector.mayTake(m.VM, o.Version, heard, now) || !l.mayFence(k.self.VM) && !absent {
 			continue
 		}
+		// The lease may be of another run than the member: the VM died between
+		// the two writes of a restart. Writing it keeps the holder from renewing
+		// it, whichever run that is.
+		l.Boot = m.Boot
 		ok, err := k.fenceOne(ctx, l, o.Version)
 		if err != nil {
 			return nil, err
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -93,10 +93,12 @@
 	settled   time.Time
 	suspector suspector
 	leaving   bool
-	left      chan struct{}
-	leave     chan struct{}
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// leaveFailures counts the failed calls since the VM is leaving.
+	leaveFailures int
+	left          chan struct{}
+	leave         chan struct{}
+	cancel        context.CancelFunc
+	done          chan struct{}
 }
 
 // New starts a keeper.
@@ -157,6 +159,10 @@
 		case err != nil:
 			k.log.WithError(err).Warn("lease: platform call failed")
 			pause = backoff
+			if k.leaving {
+				k.leaveAlone()
+				pause = stepEvery
+			}
 			backoff = min(backoff*3/2, maxBackoff)
 		case more:
 			pause = stepEvery
--- a/internal/lease/leave.go
+++ b/internal/lease/leave.go
@@ -21,14 +21,43 @@
 	}
 }
 
-// stepLeave drains all endpoints, then gives up share and membership.
-func (k *Keeper) stepLeave(ctx context.Context) error {
+// maxLeaveFailures is after how many failed calls a drained VM leaves without
+// giving anything up. Others take its place over once its lease has lapsed.
+const maxLeaveFailures = 4
+
+// leaveAlone drains the endpoints while the platform cannot be reached, so that
+// a planned stop cuts no request in an outage either.
+func (k *Keeper) leaveAlone() {
+	k.leaveFailures++
+	if k.drain() && k.leaveFailures >= maxLeaveFailures {
+		k.log.Warn("lease: left without the platform")
+		k.endLeave()
+	}
+}
+
+// drain gives all endpoints up and reports whether nothing runs on them.
+func (k *Keeper) drain() bool {
 	idle := true
 	for _, c := range k.record.Claims {
 		if c.VM == k.self.VM && !k.host.DrainEndpoint(c.Endpoint) {
 			idle = false
 		}
 	}
+	return idle
+}
+
+// endLeave tells Leave that the VM may stop.
+func (k *Keeper) endLeave() {
+	select {
+	case <-k.left:
+	default:
+		close(k.left)
+	}
+}
+
+// stepLeave drains all endpoints, then gives up share and membership.
+func (k *Keeper) stepLeave(ctx context.Context) error {
+	idle := k.drain()
 	m, ok := k.record.Member(k.self.VM)
 	if ok && (!idle || k.giveAll() < m.Share) {
 		return nil
@@ -69,10 +98,6 @@
 	if _, err := k.store.Put(ctx, Key(k.self.Domain, k.self.VM), value, k.version); err != nil {
 		return err
 	}
-	select {
-	case <-k.left:
-	default:
-		close(k.left)
-	}
+	k.endLeave()
 	return nil
 }
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"knapweedplank.org/plank/internal/ctrl"
 	"knapweedplank.org/plank/internal/stand/model"
+	"knapweedplank.org/plank/internal/stand/objapi"
 	"knapweedplank.org/plank/internal/store"
 )
 
@@ -51,6 +52,35 @@
 	f.checkEngines()
 }
 
+// TestPlannedStopInOutage stops an owner while the platform is away: what others
+// forwarded to it ends whole, and it does not wait for the platform.
+func TestPlannedStopInOutage(t *testing.T) {
+	t.Parallel()
+	s := small()
+	s.domains, s.daemons, s.engines = []string{"a"}, 2, 2
+	f := newFleet(t, s)
+	long := make(chan result, 6)
+	for i := range cap(long) {
+		go func() {
+			long <- f.daemons[0].complete(context.Background(), keyOne, fmt.Sprintf("ad-%d@1", i), "long", 800)
+		}()
+	}
+	eventually(t, 5*time.Second, "streams run", func() bool { return f.tokens() > 100 })
+	f.platformFaults(objapi.Faults{Away: true})
+	f.daemons[1].proc.signal(syscall.SIGTERM)
+	code, ok := f.daemons[1].proc.exited(25 * time.Second)
+	assert.Assert(t, ok && code == 0, "the daemon did not stop")
+	for range cap(long) {
+		r := <-long
+		assert.Assert(t, r.whole, "%+v", r.code)
+	}
+	cancelled := 0
+	for _, st := range f.engineStats() {
+		cancelled += st.Cancelled
+	}
+	assert.Equal(t, cancelled, 0, "runs that an engine was made to give up")
+}
+
 // TestLeavingEndpoint tells of leaving engines in both ways, by the engine's own
 // report and by the platform's list. New work stops soon and no answer is cut.
 func TestLeavingEndpoint(t *testing.T) {
