--- a/test/slopes_test.go
+++ b/test/slopes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -213,10 +214,15 @@
 		to   *vm
 	}{{"engine", engine}, {"direct", direct}, {"forwarded", forwarded}} {
 		b.Run(c.name, func(b *testing.B) {
+			var took []time.Duration
 			for b.Loop() {
 				r := c.to.complete(ctx, keyOne, "ad-1@1", "x", 1)
 				assert.Assert(b, r.whole, "%+v", r)
+				took = append(took, r.ended.Sub(r.began))
 			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
 		})
 	}
 }
