Read-through: the note's Source reaches engines, short loans are refused, comments agree

Cause, found by reading: an adapter's Source was accepted, documented and never used: engines were given the adapter's name as path. A loan's time to live was sent and not looked at, so a lender of another version that lends for a shorter time could have taken a share back that was still in use. Two comments named fields that do not exist. TestLoadNamesTheSource shows the first.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -212,13 +212,22 @@
 		Endpoint: e.Id, Slots: e.Slots, Batch: e.Batch,
 		Queue: d.policy.NewQueue(), Evictor: d.policy.Evictor, Order: d.policy.Order,
 	}, runner.Deps{
-		Engine: engine.New(e.Id, e.Address, d.engines), Clock: d.clock, Budget: loadBudget{d}, Poison: d.poison,
+		Engine: engine.New(e.Id, e.Address, d.engines, d.source), Clock: d.clock, Budget: loadBudget{d}, Poison: d.poison,
 		Log: d.entry("runner"), Valid: d.valid,
 		Copies: func(m plank.Model) int { return d.control.Snapshot().Copies(m) },
 		Waited: d.waited,
 	}, term, pinned)
 }
 
+// source returns where a model lies in the weight store: the path that its note
+// gives, or its name.
+func (d *Daemon) source(m plank.Model) string {
+	if a := d.control.Snapshot().Catalog.Adapters[m.String()]; a.Source != "" {
+		return a.Source
+	}
+	return m.String()
+}
+
 // waited counts the wait of a dispatched request.
 func (d *Daemon) waited(w runner.Wait) {
 	if w.Resident {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -83,5 +83,9 @@
 	if err := l.daemon.hub.Call(ctx, address, call, &reply); err != nil {
 		return limit.Loan{}, err
 	}
+	if reply.GetTtlMillis() < limit.LoanTime.Milliseconds() {
+		// A lender of another version would take the share back too early.
+		return limit.Loan{}, nil
+	}
 	return limit.Loan{Share: plank.PPM(reply.GetSharePpm()), Tokens: plank.Tokens(reply.GetTokens())}, nil
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -28,13 +28,16 @@
 	id   plank.EndpointID
 	base string
 	http *http.Client
+	// source tells where in the weight store a model lies.
+	source func(plank.Model) string
 }
 
 var _ plank.Engine = (*Client)(nil)
 
-// New returns a client of the engine at addr (host:port).
-func New(id plank.EndpointID, addr string, transport http.RoundTripper) *Client {
-	return &Client{id: id, base: "http://" + addr, http: &http.Client{Transport: transport}}
+// New returns a client of the engine at addr (host:port). source tells where in
+// the weight store a model lies.
+func New(id plank.EndpointID, addr string, transport http.RoundTripper, source func(plank.Model) string) *Client {
+	return &Client{id: id, base: "http://" + addr, http: &http.Client{Transport: transport}, source: source}
 }
 
 // A WrongModelError reports an answer by another model than the one asked for.
@@ -150,7 +153,7 @@
 
 // Load implements plank.Engine.
 func (c *Client) Load(ctx context.Context, m plank.Model, term plank.Term) error {
-	return c.order(ctx, "/v1/load_lora_adapter", openai.Order{Name: m.String(), Path: m.String()}, term)
+	return c.order(ctx, "/v1/load_lora_adapter", openai.Order{Name: m.String(), Path: c.source(m)}, term)
 }
 
 // Unload implements plank.Engine.
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -36,7 +36,7 @@
 // run returns the indexes of the chunks that Generate hands over.
 func run(r reply, offset int) ([]int, error) {
 	var got []int
-	err := engine.New("e", "host:1", r).Generate(context.Background(), job(offset), func(c plank.Chunk) error {
+	err := engine.New("e", "host:1", r, plank.Model.String).Generate(context.Background(), job(offset), func(c plank.Chunk) error {
 		got = append(got, c.Index)
 		return nil
 	})
@@ -74,6 +74,24 @@
 	}
 }
 
+// A recorder keeps the last order.
+type recorder struct{ body string }
+
+// RoundTrip implements http.RoundTripper.
+func (r *recorder) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	r.body = string(body)
+	return &http.Response{StatusCode: 200, Body: http.NoBody}, err
+}
+
+// TestLoadNamesTheSource checks that engines are told where the weights lie.
+func TestLoadNamesTheSource(t *testing.T) {
+	r := &recorder{}
+	c := engine.New("e", "host:1", r, func(m plank.Model) string { return "weights/" + string(m.Adapter) })
+	assert.NilError(t, c.Load(context.Background(), plank.Model{Adapter: "a", Version: "1"}, 3))
+	assert.Equal(t, r.body, `{"lora_name":"a@1","lora_path":"weights/a"}`)
+}
+
 // FuzzStream checks that whatever an engine sends, the chunks handed over count
 // up from the offset without gap or repeat.
 func FuzzStream(f *testing.F) {
--- a/internal/stand/model/options.go
+++ b/internal/stand/model/options.go
@@ -49,8 +49,8 @@
 	StepAdapters            int // sum over steps of the distinct adapters in the batch
 	BusyNanos               int64
 	Loads, Unloads          int
-	// Evictions of a model that was serving, orders refused as stale, requests
-	// that carried a caller's key, and runs by request id.
+	// Evictions of a model that was serving, orders refused as stale, and
+	// requests that carried a caller's key.
 	InUseEvictions, StaleOrders, Leaks int
 	Crashes                            int
 	Completed, Cancelled               int
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -24,8 +24,8 @@
 	Version plank.ObjectVersion
 }
 
-// A WatchReply answers a watch. Gap is set when the platform no longer has all
-// changes since the given revision; the reader must list again.
+// A WatchReply answers a watch. A Revision below the given one tells that the
+// platform lost its history; the reader must list again.
 type WatchReply struct {
 	Changes  []ChangeItem
 	Revision plank.Revision
