--- a/test/load_test.go
+++ b/test/load_test.go
@@ -152,7 +152,7 @@
 	t.Logf("%d requests, share whole %.3f", len(tr.results), share)
 	for range cap(woken) {
 		r := <-woken
-		assert.Assert(t, r.whole || r.ran == plank.NotRun, "a request as the daemon woke: %+v", r)
+		assert.Assert(t, r.whole || r.ran == plank.NotRun, "a request as the daemon woke: %v: %+v", r.err, r)
 	}
 	for range cap(long) {
 		r := <-long
