--- /dev/null
+++ b/cmd/knapweedplank/entry.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank/internal/logs"
+	"knapweedplank.org/plank/internal/node"
+	"knapweedplank.org/plank/platform"
+)
+
+// An entryCmd runs the daemon on the users' platform.
+type entryCmd struct {
+	Settings string `env:"KNAPWEEDPLANK_NODE_FILE" required:"" placeholder:"FILE" help:"Settings file that the platform writes."`
+}
+
+// Run runs until SIGTERM or SIGINT; a second signal stops at once.
+func (c *entryCmd) Run() error {
+	settings, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	debug.SetGCPercent(gcPercent)
+	out := logs.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	n, err := node.New(settings, log)
+	if err != nil {
+		return err
+	}
+	return waitForStop(n, c.Settings, log)
+}
+
+// waitForStop stops the daemon after a signal. SIGHUP reads the settings again;
+// what they tell of this VM is fixed for a process, so only faults matter.
+func waitForStop(n *node.Node, path string, log *logrus.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.WithError(err).Error("node: faulty settings, the last ones stay in force")
+		} else {
+			log.Info("node: settings read again")
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		n.Shutdown()
+		close(done)
+	}()
+	for {
+		select {
+		case <-done:
+			return nil
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return errors.New("stopped at once by a second signal")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/model.go
@@ -0,0 +1,295 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pick"
+	"knapweedplank.org/plank/internal/sse"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+const (
+	// maxRooms bounds the engines that are asked for room for one call.
+	maxRooms = 3
+	// maxRoomWait is how long a call waits for room on one engine.
+	maxRoomWait = 1500 * time.Millisecond
+	// minRun is the least time in which a call can still be served.
+	minRun = 100 * time.Millisecond
+	// fullRetry is when a caller may come back when no engine has room.
+	fullRetry = 400 * time.Millisecond
+	// outputShare is the part of the most output tokens that a call without an
+	// estimate is expected to need.
+	outputShare = 0.5
+	// maxUrgency is the last rank that engines know.
+	maxUrgency = 9
+)
+
+// A progress is how far a stream has come at its caller.
+type progress struct {
+	begun  bool
+	lastID string // of the last event passed on
+}
+
+// serveModel serves a call of a model engine.
+func (s *Server) serveModel(ctx context.Context, j *job) end {
+	s.deps.Budgets.Of(j.service).Request()
+	skip := make(map[plank.EndpointID]bool)
+	p := &progress{lastID: j.call.LastEvent}
+	retry := time.Duration(0)
+	for rooms := 0; rooms < maxRooms; rooms++ {
+		inst, room, err := s.reserve(ctx, j, skip)
+		if err != nil {
+			retry = err.RetryAfter
+			if inst.ID == "" {
+				break
+			}
+			skip[inst.ID] = true
+			continue
+		}
+		r, e := s.tryModel(ctx, j, p, inst, room)
+		if r == served || r == failed || r == abandoned {
+			return e
+		}
+		skip[inst.ID] = true
+		if r == unsent {
+			continue
+		}
+		if r == rejected {
+			skip[inst.ID] = false // it may hold the adapter next time
+		}
+		if !s.mayRepeat(j, r) {
+			break
+		}
+	}
+	return s.endModel(ctx, j, p, retry)
+}
+
+// endModel ends a call that could not be served.
+func (s *Server) endModel(ctx context.Context, j *job, p *progress, retry time.Duration) end {
+	switch {
+	case j.call.Context.Err() != nil:
+		return end{outcome: outcomeLeft}
+	case p.begun:
+		return end{outcome: outcomeBroken}
+	case j.ran:
+		return s.refuse(j.w, j.log, s.failure(ctx))
+	}
+	r := plank.Refuse(plank.CodeNoEndpoint, "no engine of %s has room", j.service)
+	r.RetryAfter = max(retry, fullRetry)
+	return s.refuse(j.w, j.log, r)
+}
+
+// work describes the call to the choice of an engine.
+func (j *job) work() pick.Work {
+	w := pick.Work{Adapter: j.call.Adapter, Prompt: j.call.Prompt, Output: outputShare * j.call.Output}
+	if j.call.Hint > 0 {
+		w.Output = min(j.call.Hint, j.call.Output)
+	}
+	if n := len(j.call.Parts); n > 1 {
+		w.Prefix = j.call.Parts[n-2].ID
+	}
+	return w
+}
+
+// reserve chooses an engine and gets room on it. The engine is named with the
+// refusal if there was one to ask.
+func (s *Server) reserve(ctx context.Context, j *job, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
+	w := j.work()
+	engines, states := s.engines(j, w)
+	i, expected := pick.Best(engines, w, func(id plank.EndpointID) bool { return skip[id] })
+	if i < 0 {
+		return plank.Instance{}, nil, noRoom("no engine to ask", 0)
+	}
+	e := engines[i]
+	now := s.deps.Clock.Now()
+	if now.Add(expected).After(j.deadline.Add(-minRun)) {
+		return plank.Instance{}, nil, noRoom("no engine in time", expected/2)
+	}
+	until := now.Add(maxRoomWait)
+	if limit := j.deadline.Add(-minRun); limit.Before(until) {
+		until = limit
+	}
+	log := j.log.WithFields(logrus.Fields{
+		"endpoint": e.Instance.ID, "adapter": w.Adapter.String(), "expected_ms": expected.Milliseconds(), "resident": e.Resident,
+		"loading": e.Loading, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": len(engines),
+	})
+	room, err := s.roomOn(ctx, j, states[i], e, grant.Request{
+		ID: j.call.ID, Adapter: w.Adapter, Version: j.view.Versions[w.Adapter], Prompt: w.Prompt, Output: w.Output,
+		Priority: j.priority, Deadline: until,
+	})
+	if err != nil {
+		log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds()).WithError(err).Info("front: no room")
+		return e.Instance, nil, err
+	}
+	log.WithFields(logrus.Fields{"waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(), "version": room.Version()}).Info("front: room granted")
+	return e.Instance, room, nil
+}
+
+// roomOn asks an engine's holder for room. If the holder cannot be asked, an
+// engine that was known to hold the adapter is used without.
+func (s *Server) roomOn(ctx context.Context, j *job, state mesh.Engine, e pick.Engine, r grant.Request) (Room, *plank.RefusalError) {
+	var refusal *plank.RefusalError
+	if e.Known {
+		room, err := s.deps.Rooms.Reserve(ctx, state, e.Instance, r)
+		if err == nil {
+			return room, nil
+		}
+		if errors.As(err, &refusal) {
+			return nil, refusal
+		}
+		j.log.WithField("endpoint", e.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
+	}
+	if state.State != nil && (e.Resident && !e.Stale || r.Adapter.Name == "") {
+		return freeRoom{version: residentVersion(state.State, r.Adapter)}, nil
+	}
+	return nil, noRoom("nobody orders the engine", fullRetry)
+}
+
+// A freeRoom is used on an engine whose holder is silent.
+type freeRoom struct {
+	version plank.VersionNumber
+}
+
+// Version implements Room.
+func (f freeRoom) Version() plank.VersionNumber { return f.version }
+
+// Began implements Room.
+func (freeRoom) Began() {}
+
+// Missing implements Room.
+func (freeRoom) Missing() {}
+
+// Release implements Room.
+func (freeRoom) Release() {}
+
+func residentVersion(s *wire.EngineState, ref plank.AdapterRef) plank.VersionNumber {
+	for _, p := range s.Places {
+		if p.Adapter == ref.String() {
+			return plank.VersionNumber(p.Version)
+		}
+	}
+	return 0
+}
+
+// engines returns the service's engines as the choice sees them.
+func (s *Server) engines(j *job, w pick.Work) ([]pick.Engine, []mesh.Engine) {
+	v := s.deps.View.Load()
+	var engines []pick.Engine
+	var states []mesh.Engine
+	for _, inst := range v.Endpoints(j.service) {
+		if inst.Leaving {
+			continue
+		}
+		state, alive := s.deps.Mesh.Engine(inst.ID)
+		e := pick.Engine{
+			Instance: inst, MaxPlaces: j.pool.MaxAdapters, Slots: j.pool.Slots, Memory: j.pool.Memory,
+			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID), Far: inst.Domain != s.deps.Domain,
+		}
+		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
+			e.Known = alive
+			describe(&e, state.State, w.Adapter, v.Versions[w.Adapter])
+		} else {
+			state = mesh.Engine{}
+		}
+		e.Avoid = e.Avoid || !e.Known
+		engines = append(engines, e)
+		states = append(states, state)
+	}
+	return engines, states
+}
+
+// describe takes what an engine's holder tells.
+func describe(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
+	e.Running, e.Queued = int(s.Running), int(s.Queued)
+	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
+	e.Places = len(s.Places)
+	name := ref.String()
+	for _, p := range s.Places {
+		if p.Adapter == name {
+			e.Loading = p.Loading
+			e.Resident = !p.Loading
+			e.Stale = plank.VersionNumber(p.Version) < newest
+		} else if p.Users == 0 && !p.Loading {
+			e.Idle++
+		}
+	}
+}
+
+// tryModel sends a call to an engine and passes its events on.
+func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, room Room) (result, end) {
+	defer room.Release()
+	a := attempt{inst: inst}
+	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
+		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: room.Version(),
+		Resume: p.lastID, Urgency: min(maxUrgency, max(0, j.priority)),
+	})
+	var e end
+	isStream := a.err == nil && a.reply.Status == 200
+	if a.err == nil {
+		defer a.reply.Body.Close()
+		if !isStream {
+			a.body, a.err = io.ReadAll(io.LimitReader(a.reply.Body, maxBody))
+		}
+	}
+	a.result = s.classify(j, &a)
+	if a.result == served && isStream {
+		a.result, a.err = s.relay(j, p, a.reply, room)
+		e = end{outcome: outcomeServed, status: a.reply.Status}
+	}
+	if a.result == failed {
+		e = s.answerPlain(ctx, j, a)
+	}
+	if a.result == abandoned {
+		e = end{outcome: outcomeLeft}
+	}
+	if a.result == rejected && a.reply.Status == 421 {
+		room.Missing()
+	}
+	s.judge(j, &a)
+	return a.result, e
+}
+
+// relay passes events on until the stream ends.
+func (s *Server) relay(j *job, p *progress, reply *plank.Reply, room Room) (result, error) {
+	events := sse.New(reply.Body)
+	for {
+		ev, err := events.Next()
+		if err == io.EOF {
+			return s.endStream(j, p, reply)
+		}
+		if err != nil {
+			if j.call.Context.Err() != nil {
+				return abandoned, err
+			}
+			return broken, err
+		}
+		if !p.begun {
+			p.begun = true
+			room.Began()
+			if err := j.w.Begin(reply.Head); err != nil {
+				return abandoned, err
+			}
+		}
+		if err := j.w.Append(ev.Data); err != nil {
+			return abandoned, err
+		}
+		if ev.ID != "" {
+			p.lastID = ev.ID
+		}
+	}
+}
+
+// endStream ends a stream that its engine ended.
+func (s *Server) endStream(j *job, p *progress, reply *plank.Reply) (result, error) {
+	if p.begun {
+		return served, nil
+	}
+	return served, j.w.Whole(reply.Head, nil)
+}
--- /dev/null
+++ b/internal/front/plain.go
@@ -0,0 +1,239 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pick"
+)
+
+const (
+	// maxBody bounds an answer of a plain service.
+	maxBody = 32 << 20
+	// patienceFactor is how many times the target an attempt may take, when
+	// the call may be sent to another endpoint.
+	patienceFactor = 2
+	// maxUnsent bounds the endpoints that are tried without being reached.
+	maxUnsent = 4
+	// busyRetry is when a caller may come back whose call no endpoint took.
+	busyRetry = 150 * time.Millisecond
+)
+
+// A result is what became of one attempt.
+type result int
+
+const (
+	served    result = iota // the answer is complete
+	unsent                  // the endpoint was not reached
+	rejected                // the endpoint says that it did not run the call
+	failed                  // the endpoint's own failure, complete
+	broken                  // no usable answer; the call may have run
+	abandoned               // the caller left or its time is over
+)
+
+// An attempt is one sending of a call and its answer.
+type attempt struct {
+	inst   plank.Instance
+	result result
+	reply  *plank.Reply
+	body   []byte
+	err    error
+}
+
+// servePlain serves a call of a plain service.
+func (s *Server) servePlain(ctx context.Context, j *job) end {
+	tried := make(map[plank.EndpointID]bool)
+	s.deps.Budgets.Of(j.service).Request()
+	var last attempt
+	for unreached := 0; unreached < maxUnsent; {
+		inst, ok := s.pickReplica(j, tried)
+		if !ok {
+			break
+		}
+		tried[inst.ID] = true
+		last = s.tryPlain(ctx, j, inst)
+		if last.result == served || last.result == abandoned {
+			break
+		}
+		if last.result == unsent {
+			unreached++
+			continue
+		}
+		if !s.mayRepeat(j, last.result) {
+			break
+		}
+	}
+	return s.answerPlain(ctx, j, last)
+}
+
+// mayRepeat tells whether a call may be sent to another endpoint, and takes it
+// from the budget.
+func (s *Server) mayRepeat(j *job, r result) bool {
+	if j.sends >= j.route.MaxAttempts || r != rejected && !j.route.Repeatable() {
+		return false
+	}
+	if !s.deps.Budgets.Of(j.service).Retry() {
+		j.log.Info("front: no retry left in the budget")
+		return false
+	}
+	return true
+}
+
+// pickReplica chooses an endpoint that was not tried.
+func (s *Server) pickReplica(j *job, tried map[plank.EndpointID]bool) (plank.Instance, bool) {
+	calls := make(map[plank.EndpointID]int)
+	now := s.deps.Clock.Now()
+	for _, p := range s.deps.Mesh.Peers() {
+		if !p.IsAlive(now) {
+			continue
+		}
+		for id, n := range p.Flights {
+			calls[id] += n
+		}
+	}
+	var replicas []pick.Replica
+	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
+		if inst.Leaving {
+			continue
+		}
+		replicas = append(replicas, pick.Replica{
+			Instance: inst, Calls: calls[inst.ID] + s.deps.Flights.Count(inst.ID),
+			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID), Far: inst.Domain != s.deps.Domain,
+		})
+	}
+	if len(replicas) == 0 {
+		return plank.Instance{}, false
+	}
+	i := pick.Least(replicas, xxhash.Sum64String(string(j.call.ID)), func(id plank.EndpointID) bool { return tried[id] })
+	if i < 0 {
+		return plank.Instance{}, false
+	}
+	r := replicas[i]
+	j.log.WithFields(logrus.Fields{
+		"endpoint": r.Instance.ID, "calls": r.Calls, "fail_rate": r.FailRate, "avoid": r.Avoid, "of": len(replicas),
+	}).Info("front: routed")
+	return r.Instance, true
+}
+
+// tryPlain sends a call to one endpoint and reads the whole answer.
+func (s *Server) tryPlain(ctx context.Context, j *job, inst plank.Instance) attempt {
+	deadline := j.deadline
+	if j.route.Repeatable() && j.sends+1 < j.route.MaxAttempts {
+		now := s.deps.Clock.Now()
+		if d := now.Add(patienceFactor * j.route.Target); d.Before(now.Add(deadline.Sub(now) / 2)) {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithDeadline(ctx, d)
+			defer cancel()
+		}
+	}
+	s.deps.Flights.Add(inst.ID, 1)
+	defer s.deps.Flights.Add(inst.ID, -1)
+	reply, err := s.deps.Sender.Send(ctx, j.call, plank.Dispatch{Instance: inst, Workspace: j.workspaceID(), Deadline: deadline, Urgency: -1})
+	a := attempt{inst: inst, reply: reply, err: err}
+	if err == nil {
+		defer reply.Body.Close()
+		a.body, a.err = io.ReadAll(io.LimitReader(reply.Body, maxBody))
+	}
+	a.result = s.classify(j, &a)
+	s.judge(j, &a)
+	return a
+}
+
+// classify tells what became of an attempt.
+func (s *Server) classify(j *job, a *attempt) result {
+	var send *plank.SendError
+	switch {
+	case j.call.Context.Err() != nil:
+		j.sends++
+		j.ran = true
+		return abandoned
+	case errors.As(a.err, &send) && !send.Sent:
+		return unsent
+	}
+	j.sends++
+	if a.err == nil && a.reply.NotRun {
+		return rejected
+	}
+	j.ran = true
+	switch {
+	case a.err != nil || a.reply.Encoded || !a.reply.Stamped:
+		return broken
+	case a.reply.Status/100 == 2:
+		return served
+	}
+	return failed
+}
+
+// judge records what the attempt tells of its endpoint.
+func (s *Server) judge(j *job, a *attempt) {
+	log := j.log.WithFields(logrus.Fields{"endpoint": a.inst.ID, "sends": j.sends})
+	switch a.result {
+	case served:
+		s.deps.Health.Good(a.inst.ID)
+		return
+	case abandoned:
+		return
+	case unsent:
+		s.deps.Health.Unreachable(a.inst.ID)
+	case rejected, failed:
+		s.deps.Health.Bad(a.inst.ID)
+		log = log.WithField("status", a.reply.Status)
+	case broken:
+		s.deps.Health.Bad(a.inst.ID)
+		s.suspect(j, a.inst)
+	}
+	if a.err != nil {
+		log = log.WithError(a.err)
+	}
+	log.WithField("result", a.result.String()).Info("front: attempt failed")
+}
+
+// suspect looks whether the endpoint crashed while it ran the call.
+func (s *Server) suspect(j *job, inst plank.Instance) {
+	if s.deps.Clock.Now().After(j.deadline) {
+		return // the call ended by its time
+	}
+	go func() {
+		if s.deps.Crashed(inst) {
+			s.deps.Health.Unreachable(inst.ID)
+			s.deps.Poison.Crashed([]plank.Fingerprint{j.print})
+		}
+	}()
+}
+
+// answerPlain ends a call with its last attempt's answer.
+func (s *Server) answerPlain(ctx context.Context, j *job, a attempt) end {
+	if j.call.Context.Err() != nil {
+		return end{outcome: outcomeLeft}
+	}
+	switch {
+	case j.sends > 0 && (a.result == served || a.result == failed):
+		if err := j.w.Whole(a.reply.Head, a.body); err != nil {
+			j.log.WithError(err).Debug("front: the caller left before its answer")
+		}
+		return end{outcome: outcomeServed, status: a.reply.Status}
+	case !j.ran:
+		r := plank.Refuse(plank.CodeNoEndpoint, "no endpoint of %s took the call", j.service)
+		r.RetryAfter = busyRetry
+		return s.refuse(j.w, j.log, r)
+	}
+	return s.refuse(j.w, j.log, s.failure(ctx))
+}
+
+// failure returns the answer to a call that may have run.
+func (s *Server) failure(ctx context.Context) *plank.RefusalError {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &plank.RefusalError{Code: plank.CodePatience, Ran: plank.Unknown, Detail: "no answer in time"}
+	}
+	return &plank.RefusalError{Code: plank.CodeEndpoint, Ran: plank.Unknown, Detail: "the endpoint broke off"}
+}
+
+// String returns the result's name in logs.
+func (r result) String() string {
+	return [...]string{"served", "unsent", "rejected", "failed", "broken", "abandoned"}[r]
+}
--- /dev/null
+++ b/internal/front/room.go
@@ -0,0 +1,189 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// A Room is leave to send one call to an engine.
+type Room interface {
+	// Version is the adapter version that the engine holds; 0 is not known.
+	Version() plank.VersionNumber
+	// Began records that the first event has arrived.
+	Began()
+	// Missing records that the engine does not hold the adapter.
+	Missing()
+	// Release must be called once the call has ended.
+	Release()
+}
+
+// Rooms are asked for room on engines.
+type Rooms interface {
+	// Reserve waits for room until ctx ends. A *plank.RefusalError tells that
+	// there is none, an *plank.UnavailableError that nobody could be asked.
+	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Room, error)
+}
+
+// Desk asks the holder of an engine's domain for room: this VM's keeper, or a
+// peer's.
+type Desk struct {
+	Keeper *grant.Keeper
+	Hub    *peer.Hub
+	Clock  plank.Clock
+	Log    *logrus.Entry
+}
+
+var _ Rooms = (*Desk)(nil)
+
+// Reserve implements Rooms.
+func (d *Desk) Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Room, error) {
+	if e.Address != "" {
+		return d.reserveRemote(ctx, e.Address, inst, r)
+	}
+	t, err := d.Keeper.Reserve(ctx, inst.ID, inst.Born, r)
+	var notHeld *grant.NotHeldError
+	switch {
+	case errors.As(err, &notHeld):
+		return nil, &plank.UnavailableError{Target: string(inst.ID), Op: "reserve", Err: err}
+	case err != nil:
+		return nil, noRoom("no room in time", 0)
+	case !t.Granted:
+		return nil, noRoom(t.Reason, t.Retry)
+	}
+	return localRoom{t}, nil
+}
+
+func noRoom(reason string, retry time.Duration) *plank.RefusalError {
+	r := plank.Refuse(plank.CodeNoEndpoint, "%s", reason)
+	r.RetryAfter = retry
+	return r
+}
+
+type localRoom struct {
+	*grant.Ticket
+}
+
+// Version implements Room.
+func (l localRoom) Version() plank.VersionNumber { return l.Outcome.Version }
+
+// replyMargin is how much longer than the holder waits its reply may take.
+const replyMargin = 150 * time.Millisecond
+
+func (d *Desk) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (Room, error) {
+	wait := r.Deadline.Sub(d.Clock.Now())
+	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	s, err := d.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: &wire.ReserveRequest{
+		Endpoint: string(inst.ID), Born: inst.Born.UnixMilli(), Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version),
+		Prompt: float64(r.Prompt), Output: float64(r.Output), Priority: uint32(max(0, r.Priority)), WaitMicros: wait.Microseconds(),
+	}}})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	var reply wire.ReserveReply
+	err = s.SetDeadline(time.Now().Add(wait + replyMargin))
+	if err == nil {
+		err = s.Receive(&reply)
+	}
+	stop()
+	if err == nil && reply.Granted {
+		return &remoteRoom{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: d.Log}, nil
+	}
+	s.Close()
+	cancel()
+	switch {
+	case ctx.Err() != nil:
+		return nil, noRoom("no room in time", 0)
+	case err != nil:
+		return nil, &plank.UnavailableError{Target: "holder " + addr, Op: "reserve", Err: err}
+	}
+	return nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+}
+
+// A remoteRoom is a reservation at a peer; it lasts as long as its stream.
+type remoteRoom struct {
+	stream  *peer.Stream
+	cancel  context.CancelFunc
+	version plank.VersionNumber
+	log     *logrus.Entry
+}
+
+// Version implements Room.
+func (r *remoteRoom) Version() plank.VersionNumber { return r.version }
+
+// Began implements Room.
+func (r *remoteRoom) Began() { r.note(&wire.ReserveNote{Began: true}) }
+
+// Missing implements Room.
+func (r *remoteRoom) Missing() { r.note(&wire.ReserveNote{Missing: true}) }
+
+func (r *remoteRoom) note(n *wire.ReserveNote) {
+	if err := r.stream.Send(n); err != nil {
+		// The holder counts the call as ended; engines finish what runs.
+		r.log.WithError(err).Info("front: the holder of a room is gone")
+	}
+}
+
+// Release implements Room.
+func (r *remoteRoom) Release() {
+	r.stream.Close()
+	r.cancel()
+}
+
+// ServeReserve answers a peer that asks for room.
+func (d *Desk) ServeReserve(q *wire.ReserveRequest, s *peer.Stream) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	notes := make(chan *wire.ReserveNote, 2)
+	go func() {
+		defer close(notes)
+		defer cancel()
+		for {
+			n := new(wire.ReserveNote)
+			if s.Receive(n) != nil {
+				return
+			}
+			notes <- n
+		}
+	}()
+	t, err := d.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), grant.Request{
+		ID: plank.RequestID(q.Request), Adapter: plank.ParseAdapterRef(q.Adapter), Version: plank.VersionNumber(q.Version),
+		Prompt: plank.Tokens(q.Prompt), Output: plank.Tokens(q.Output), Priority: int(q.Priority),
+		Deadline: d.Clock.Now().Add(time.Duration(q.WaitMicros) * time.Microsecond),
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			d.reply(s, &wire.ReserveReply{Reason: err.Error()})
+		}
+		return
+	}
+	defer t.Release()
+	d.reply(s, &wire.ReserveReply{Granted: t.Granted, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
+	if !t.Granted {
+		return
+	}
+	for n := range notes {
+		if n.Began {
+			t.Began()
+		}
+		if n.Missing {
+			t.Missing()
+		}
+	}
+}
+
+// reply answers a peer. One that is gone by then has lost its stream as well.
+func (d *Desk) reply(s *peer.Stream, m *wire.ReserveReply) {
+	if err := s.Send(m); err != nil {
+		d.Log.WithError(err).Info("front: a peer that asked for room is gone")
+	}
+}
--- /dev/null
+++ b/internal/grant/engine.go
@@ -0,0 +1,321 @@
+// Package grant defines the room on engines: which calls may be sent to an
+// engine, and which adapters it loads and unloads for them.
+//
+// An Engine is the state of one engine and performs no I/O. A Keeper runs the
+// engines of the domains whose duty this VM holds.
+//
+// The load it is made for: requests that are skewed over many more adapters
+// than an engine has places. A place whose adapter runs is never taken; an idle
+// one is taken at once for whoever waits; calls of one adapter share its place.
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// The times of loads and orders.
+const (
+	// warmPoll is when a load is first checked: engines load an adapter that
+	// they held lately in 25 ms.
+	warmPoll = 27 * time.Millisecond
+	// coldPoll is when the check of a load from the weight store begins, which
+	// takes 250 ms.
+	coldPoll = 253 * time.Millisecond
+	// pollEvery is the pause between further checks.
+	pollEvery = 20 * time.Millisecond
+	// reportLag is how old the state may be that an engine reports.
+	reportLag = 350 * time.Millisecond
+	// statusEvery is the pause between readings of an engine's state.
+	statusEvery = 2 * time.Second
+	// basePoll is the pause between readings while a base model loads.
+	basePoll = 300 * time.Millisecond
+	// maxLoading is how many adapters may be on their way to an engine.
+	maxLoading = 4
+	// versionGrace is how long calls still get the old version of an adapter
+	// whose place is in use, so that a replacement does not stop them all.
+	versionGrace = 2 * time.Second
+	// maxCached is how many adapters an engine keeps at hand.
+	maxCached = 42
+	// useHalfLife is the time in which the count of uses of an adapter halves.
+	useHalfLife = 10 * time.Second
+)
+
+// Limits are the bounds of one engine.
+type Limits struct {
+	Slots       int
+	Memory      plank.Tokens
+	MaxAdapters int
+	Base        plank.BaseID // to be loaded if the engine holds none; may be empty
+}
+
+// A Request asks for room.
+type Request struct {
+	ID      plank.RequestID
+	Adapter plank.AdapterRef
+	// Version is the oldest that will do; 0 is any.
+	Version  plank.VersionNumber
+	Prompt   plank.Tokens
+	Output   plank.Tokens // expected
+	Priority int          // 0 first
+	// Deadline is when the caller stops waiting for room.
+	Deadline time.Time
+}
+
+// An Outcome settles a request.
+type Outcome struct {
+	Granted bool
+	Version plank.VersionNumber
+	Reason  string
+	Retry   time.Duration // when room is expected; 0 if not known
+}
+
+// A ticket is a request with its state.
+type ticket struct {
+	Request
+	granted bool
+	began   bool
+	settle  func(Outcome)
+}
+
+type placeState int
+
+const (
+	resident placeState = iota
+	loading             // on its way; may hold an older version that serves no more
+	doubtful            // an order for it was not answered
+)
+
+// A place is one adapter on an engine.
+type place struct {
+	ref     plank.AdapterRef
+	state   placeState
+	version plank.VersionNumber // held, or on its way
+	users   int                 // granted tickets
+	uses    float64             // aged count
+	used    time.Time           // when users last changed
+	loaded  time.Time
+	poll    time.Time // when the load is checked next
+	cold    bool      // from the weight store, as far as is known
+}
+
+// An Action is what an Engine wants done next.
+type Action struct {
+	Status bool
+	Order  *plank.Order
+}
+
+// An Engine is the state of one engine. It is used by one goroutine.
+type Engine struct {
+	inst    plank.Instance
+	limits  Limits
+	fence   plank.Fence
+	evictor plank.Evictor
+	// newest returns the newest announced version of an adapter and when it
+	// became known.
+	newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+
+	// bases and places are what the engine holds, as far as is known.
+	bases  map[plank.BaseID]bool
+	places map[plank.AdapterRef]*place
+	cached []plank.AdapterRef // held lately, the latest last
+	seq    uint64
+	// known is set once the state was read since the duty began or an order was
+	// left unanswered.
+	known      bool
+	readAfter  time.Time // the state must be asked for after this to be new enough
+	nextStatus time.Time // of a reading without a cause
+	ordersAt   time.Time // of the last order that was accepted
+	busy       bool      // an action is in progress
+	baseLoad   bool      // a base model is on its way
+
+	queue   []*ticket
+	running map[*ticket]bool
+	used    plank.Tokens
+	backlog plank.Tokens
+}
+
+// NewEngine returns an engine whose state is not known yet.
+func NewEngine(inst plank.Instance, limits Limits, fence plank.Fence, evictor plank.Evictor, newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)) *Engine {
+	return &Engine{
+		inst: inst, limits: limits, fence: fence, evictor: evictor, newest: newest,
+		bases: make(map[plank.BaseID]bool), places: make(map[plank.AdapterRef]*place), running: make(map[*ticket]bool),
+	}
+}
+
+// Instance returns the engine's registration.
+func (e *Engine) Instance() plank.Instance { return e.inst }
+
+// size is the memory that a ticket speaks for.
+func (t *ticket) size() plank.Tokens { return t.Prompt + t.Output }
+
+// reserve queues a ticket.
+func (e *Engine) reserve(t *ticket) { e.queue = append(e.queue, t) }
+
+// started records that the first event of a granted ticket has arrived.
+func (e *Engine) started(t *ticket) {
+	if e.running[t] && !t.began {
+		t.began = true
+		e.backlog -= t.Prompt
+	}
+}
+
+// missing records that the engine refused a granted ticket because it does not
+// hold the adapter: what is known of the engine is wrong.
+func (e *Engine) missing(t *ticket, now time.Time) {
+	if p := e.places[t.Adapter]; p != nil {
+		p.state = doubtful
+	}
+	e.known = false
+	e.readAfter = maxTime(now, e.ordersAt.Add(reportLag))
+}
+
+// release ends a ticket, granted or not.
+func (e *Engine) release(t *ticket, now time.Time) {
+	if !e.running[t] {
+		e.queue = slices.DeleteFunc(e.queue, func(q *ticket) bool { return q == t })
+		return
+	}
+	e.started(t)
+	delete(e.running, t)
+	e.used -= t.size()
+	if p := e.places[t.Adapter]; p != nil && t.Adapter.Name != "" {
+		p.users = max(0, p.users-1)
+		p.used = now
+	}
+}
+
+// settle grants what there is room for, in order of priority and deadline.
+func (e *Engine) settle(now time.Time) {
+	slices.SortStableFunc(e.queue, func(a, b *ticket) int {
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		return a.Deadline.Compare(b.Deadline)
+	})
+	waiting := e.queue[:0]
+	for _, t := range e.queue {
+		switch {
+		case !t.Deadline.After(now):
+			t.settle(Outcome{Reason: "no room in time"})
+		case e.fits(t) && e.serves(t, now):
+			e.admit(t, now)
+		default:
+			waiting = append(waiting, t)
+		}
+	}
+	clear(e.queue[len(waiting):])
+	e.queue = waiting
+}
+
+// fits tells whether the batch and the memory have room for a ticket.
+func (e *Engine) fits(t *ticket) bool {
+	if len(e.running) == 0 {
+		return true
+	}
+	return len(e.running) < e.limits.Slots && e.used+t.size() <= e.limits.Memory
+}
+
+// serves tells whether the engine holds the ticket's adapter in a version that
+// will do.
+func (e *Engine) serves(t *ticket, now time.Time) bool {
+	if t.Adapter.Name == "" {
+		return e.bases[t.Adapter.Base]
+	}
+	p := e.places[t.Adapter]
+	if p == nil || p.state != resident {
+		return false
+	}
+	return !e.isStale(p, now, t.Version)
+}
+
+// isStale tells whether a place holds a version that serves no new calls.
+func (e *Engine) isStale(p *place, now time.Time, least plank.VersionNumber) bool {
+	newest, since := e.newest(p.ref)
+	newest = max(newest, least)
+	if p.version >= newest {
+		return false
+	}
+	return p.users == 0 || now.Sub(since) > versionGrace
+}
+
+func (e *Engine) admit(t *ticket, now time.Time) {
+	t.granted = true
+	e.running[t] = true
+	e.used += t.size()
+	e.backlog += t.Prompt
+	out := Outcome{Granted: true}
+	if p := e.places[t.Adapter]; p != nil && t.Adapter.Name != "" {
+		p.users++
+		p.uses = p.agedUses(now) + 1
+		p.used = now
+		out.Version = p.version
+	}
+	t.settle(out)
+}
+
+// agedUses returns the count of uses as of now.
+func (p *place) agedUses(now time.Time) float64 {
+	half := now.Sub(p.used).Seconds() / useHalfLife.Seconds()
+	return p.uses * exp2(-half)
+}
+
+// due returns when the engine needs attention next.
+func (e *Engine) due(now time.Time) time.Time {
+	due := maxTime(e.nextStatus, e.ordersAt.Add(reportLag))
+	if !e.known {
+		due = e.readAfter
+	}
+	for _, p := range e.places {
+		if p.state == loading && e.known && p.poll.Before(due) {
+			due = p.poll
+		}
+	}
+	for _, t := range e.queue {
+		if t.Deadline.Before(due) {
+			due = t.Deadline
+		}
+	}
+	if len(e.queue) > 0 && due.Sub(now) > pollEvery {
+		due = now.Add(pollEvery) // other engines' loads may end
+	}
+	return due
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// state returns what other VMs are told.
+func (e *Engine) state() *wire.EngineState {
+	s := &wire.EngineState{
+		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(),
+		Backlog: float64(e.backlog), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
+	}
+	for _, p := range e.places {
+		s.Places = append(s.Places, &wire.Place{
+			Adapter: p.ref.String(), Version: uint64(p.version), Users: uint32(p.users), Loading: p.state != resident,
+		})
+	}
+	slices.SortFunc(s.Places, func(a, b *wire.Place) int {
+		if a.Adapter < b.Adapter {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// fail settles all that waits, when the engine is given up.
+func (e *Engine) fail(reason string) {
+	for _, t := range e.queue {
+		t.settle(Outcome{Reason: reason})
+	}
+	e.queue = nil
+}
--- /dev/null
+++ b/internal/grant/keeper.go
@@ -0,0 +1,312 @@
+package grant
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// The limits of a keeper's calls to engines.
+const (
+	orderTimeout  = 600 * time.Millisecond
+	statusTimeout = 600 * time.Millisecond
+	// maxIdleWait bounds the keeper's sleep.
+	maxIdleWait = 250 * time.Millisecond
+	// minCold and coldPerEngine give how many loads from the weight store may be
+	// under way over all engines before each takes longer.
+	minCold       = 8
+	coldPerEngine = 1.0 / 3
+)
+
+// Deps are what a keeper works with.
+type Deps struct {
+	Self     plank.VMID
+	Operator plank.Operator
+	Evictor  plank.Evictor
+	Clock    plank.Clock
+	Log      *logrus.Entry
+	// Newest returns the newest announced version of an adapter and when it
+	// became known.
+	Newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+	// Cold returns the loads from the weight store that other VMs have under
+	// way.
+	Cold func() int
+	// Publish tells others the state of an engine; nil ends it.
+	Publish func(id plank.EndpointID, s *wire.EngineState)
+	// Fenced is told that another VM has a higher term for a domain.
+	Fenced func(domain plank.DomainID, term plank.Term)
+}
+
+// A Keeper runs the engines whose domains this VM has the duty of. Its state
+// belongs to one goroutine.
+type Keeper struct {
+	deps Deps
+	ctx  context.Context
+	cmds chan func()
+
+	// The fields below belong to the goroutine.
+	engines map[plank.EndpointID]*Engine
+	total   int // engines of the fleet
+	dirty   map[plank.EndpointID]bool
+}
+
+// A NotHeldError reports that this VM does not order the engine.
+type NotHeldError struct {
+	Endpoint plank.EndpointID
+}
+
+// Error returns the message.
+func (e *NotHeldError) Error() string { return "not the holder of " + string(e.Endpoint) }
+
+// NewKeeper starts a keeper without engines. It ends with ctx.
+func NewKeeper(ctx context.Context, deps Deps) *Keeper {
+	k := &Keeper{
+		deps: deps, ctx: ctx, cmds: make(chan func(), 64),
+		engines: make(map[plank.EndpointID]*Engine), dirty: make(map[plank.EndpointID]bool),
+	}
+	go func() { k.run() }()
+	return k
+}
+
+func (k *Keeper) run() {
+	timer := time.NewTimer(maxIdleWait)
+	defer timer.Stop()
+	for {
+		select {
+		case cmd := <-k.cmds:
+			cmd()
+			for more := true; more; {
+				select {
+				case cmd := <-k.cmds:
+					cmd()
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		case <-k.ctx.Done():
+			return
+		}
+		timer.Reset(k.pump())
+	}
+}
+
+// pump brings all engines on and returns how long nothing more is due.
+func (k *Keeper) pump() time.Duration {
+	now := k.deps.Clock.Now()
+	wait := maxIdleWait
+	for id, e := range k.engines {
+		if k.pumpEngine(e, now) {
+			k.dirty[id] = true
+		}
+		if !e.busy {
+			wait = min(wait, max(time.Millisecond, e.due(now).Sub(now)))
+		}
+	}
+	for id := range k.dirty {
+		if e := k.engines[id]; e != nil {
+			k.deps.Publish(id, e.state())
+		} else {
+			k.deps.Publish(id, nil)
+		}
+	}
+	clear(k.dirty)
+	return wait
+}
+
+// pumpEngine settles what can be settled and begins the next action. It
+// reports whether the engine changed.
+func (k *Keeper) pumpEngine(e *Engine, now time.Time) bool {
+	before := len(e.queue)
+	e.settle(now)
+	a, ok := e.next(now, k.mayLoadCold)
+	if ok {
+		k.act(e, a)
+	}
+	return before != len(e.queue)
+}
+
+// mayLoadCold tells whether another load from the weight store may begin.
+func (k *Keeper) mayLoadCold() bool {
+	cold := k.deps.Cold()
+	for _, e := range k.engines {
+		cold += e.coldCount()
+	}
+	return cold < max(minCold, int(coldPerEngine*float64(k.total)))
+}
+
+// act carries out an action and hands its result back to the goroutine.
+func (k *Keeper) act(e *Engine, a Action) {
+	inst := e.inst
+	go func() {
+		if a.Status {
+			asked := k.deps.Clock.Now()
+			ctx, cancel := context.WithTimeout(k.ctx, statusTimeout)
+			defer cancel()
+			s, err := k.deps.Operator.Status(ctx, inst)
+			k.do(func() { k.read(e, s, err, asked) })
+			return
+		}
+		ctx, cancel := context.WithTimeout(k.ctx, orderTimeout)
+		defer cancel()
+		result, err := k.deps.Operator.Order(ctx, inst, *a.Order)
+		k.do(func() { k.ordered(e, *a.Order, result, err) })
+	}()
+}
+
+func (k *Keeper) read(e *Engine, s plank.EngineStatus, err error, asked time.Time) {
+	if err == nil && !s.Born.Equal(e.inst.Born) && s.Born.UnixMilli() > 0 {
+		err = errors.New("another start of the engine answers")
+	}
+	wasKnown := e.known
+	e.read(s, err, asked, k.deps.Clock.Now())
+	k.dirty[e.inst.ID] = true
+	switch {
+	case err != nil:
+		k.deps.Log.WithField("endpoint", e.inst.ID).WithError(err).Warn("grant: no state from an engine")
+	case !wasKnown && e.known:
+		k.deps.Log.WithFields(logrus.Fields{
+			"endpoint": e.inst.ID, "seq": e.seq, "bases": len(e.bases), "adapters": len(e.places), "running": s.Running,
+		}).Info("grant: state of an engine read")
+	}
+}
+
+func (k *Keeper) ordered(e *Engine, o plank.Order, result plank.OrderResult, err error) {
+	fenced := e.ordered(o, result, err, k.deps.Clock.Now())
+	k.dirty[e.inst.ID] = true
+	log := k.deps.Log.WithFields(logrus.Fields{
+		"endpoint": e.inst.ID, "adapter": o.Target.Adapter.String(), "version": o.Target.Version, "unload": o.Unload,
+		"expect": o.Expect, "fence": o.Fence.Term, "result": result,
+	})
+	if err != nil {
+		log.WithError(err).Warn("grant: order without an answer")
+	} else {
+		log.Info("grant: order")
+	}
+	if fenced && k.engines[e.inst.ID] == e {
+		k.deps.Fenced(e.inst.Domain, o.Fence.Term)
+	}
+}
+
+// do runs f in the keeper's goroutine, soon.
+func (k *Keeper) do(f func()) {
+	select {
+	case k.cmds <- f:
+	case <-k.ctx.Done():
+	}
+}
+
+// A Held is an engine that this VM is to order.
+type Held struct {
+	Instance plank.Instance
+	Limits   Limits
+	Term     plank.Term
+}
+
+// Sync sets the engines that this VM orders, and how many there are in all.
+func (k *Keeper) Sync(held []Held, total int) {
+	k.do(func() {
+		k.total = total
+		keep := make(map[plank.EndpointID]bool, len(held))
+		for _, h := range held {
+			keep[h.Instance.ID] = true
+			k.adopt(h)
+		}
+		for id, e := range k.engines {
+			if !keep[id] {
+				e.fail("the engine is gone")
+				delete(k.engines, id)
+				k.dirty[id] = true
+			}
+		}
+	})
+}
+
+// adopt begins to order an engine, or takes its news.
+func (k *Keeper) adopt(h Held) {
+	old := k.engines[h.Instance.ID]
+	if old != nil && old.inst.Born.Equal(h.Instance.Born) && old.inst.Addr == h.Instance.Addr && old.fence.Term == h.Term {
+		old.inst = h.Instance
+		old.limits = h.Limits
+		return
+	}
+	if old != nil {
+		old.fail("the engine started anew")
+	}
+	k.engines[h.Instance.ID] = NewEngine(h.Instance, h.Limits, plank.Fence{Holder: k.deps.Self, Term: h.Term}, k.deps.Evictor, k.deps.Newest)
+	k.dirty[h.Instance.ID] = true
+}
+
+// A Ticket is room on an engine. It must be released.
+type Ticket struct {
+	Outcome
+	keeper *Keeper
+	engine *Engine
+	ticket *ticket
+}
+
+// Reserve waits for room on an engine until ctx ends or the request's deadline.
+// A *NotHeldError reports that this VM does not order the engine.
+func (k *Keeper) Reserve(ctx context.Context, id plank.EndpointID, born time.Time, r Request) (*Ticket, error) {
+	settled := make(chan *Ticket, 1)
+	held := make(chan bool, 1)
+	t := &Ticket{keeper: k, ticket: &ticket{Request: r}}
+	k.do(func() {
+		e := k.engines[id]
+		if e == nil || !e.inst.Born.Equal(born) {
+			held <- false
+			return
+		}
+		t.engine = e
+		t.ticket.settle = func(o Outcome) {
+			t.Outcome = o
+			settled <- t
+		}
+		e.reserve(t.ticket)
+		k.dirty[id] = true
+		held <- true
+	})
+	select {
+	case ok := <-held:
+		if !ok {
+			return nil, &NotHeldError{Endpoint: id}
+		}
+	case <-k.ctx.Done():
+		return nil, &NotHeldError{Endpoint: id}
+	}
+	select {
+	case t := <-settled:
+		return t, nil
+	case <-ctx.Done():
+		t.Release()
+		return nil, ctx.Err()
+	}
+}
+
+// Began records that the first event has arrived.
+func (t *Ticket) Began() {
+	t.keeper.do(func() {
+		t.engine.started(t.ticket)
+		t.keeper.dirty[t.engine.inst.ID] = true
+	})
+}
+
+// Missing records that the engine does not hold the adapter.
+func (t *Ticket) Missing() {
+	t.keeper.do(func() {
+		t.engine.missing(t.ticket, t.keeper.deps.Clock.Now())
+		t.keeper.dirty[t.engine.inst.ID] = true
+	})
+}
+
+// Release gives the room back.
+func (t *Ticket) Release() {
+	t.keeper.do(func() {
+		t.engine.release(t.ticket, t.keeper.deps.Clock.Now())
+		t.keeper.dirty[t.engine.inst.ID] = true
+	})
+}
--- /dev/null
+++ b/internal/grant/orders.go
@@ -0,0 +1,317 @@
+package grant
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"knapweedplank.org/plank"
+)
+
+func exp2(x float64) float64 { return math.Exp2(x) }
+
+// next returns what is to be done now, and when to ask again at the latest. cold
+// tells whether another load from the weight store may begin.
+func (e *Engine) next(now time.Time, cold func() bool) (Action, bool) {
+	if e.busy {
+		return Action{}, false
+	}
+	if !e.known {
+		if now.Before(e.readAfter) {
+			return Action{}, false
+		}
+		return e.begin(Action{Status: true})
+	}
+	if !now.Before(e.nextStatus) && now.Sub(e.ordersAt) >= reportLag {
+		return e.begin(Action{Status: true})
+	}
+	if o := e.baseOrder(); o != nil {
+		return e.begin(Action{Order: o})
+	}
+	if e.baseLoad {
+		return Action{}, false
+	}
+	if o := e.pollOrder(now); o != nil {
+		return e.begin(Action{Order: o})
+	}
+	if o := e.adapterOrder(now, cold); o != nil {
+		return e.begin(Action{Order: o})
+	}
+	return Action{}, false
+}
+
+func (e *Engine) begin(a Action) (Action, bool) {
+	e.busy = true
+	return a, true
+}
+
+// baseOrder loads the base model on an engine that holds none, as after its
+// restart.
+func (e *Engine) baseOrder() *plank.Order {
+	if e.limits.Base == "" || len(e.bases) > 0 || e.baseLoad {
+		return nil
+	}
+	return e.order(plank.Residency{Adapter: plank.AdapterRef{Base: e.limits.Base}}, false)
+}
+
+// pollOrder repeats the order of a load that may have ended: engines answer
+// that it holds, or is under way.
+func (e *Engine) pollOrder(now time.Time) *plank.Order {
+	for _, p := range e.places {
+		if p.state == loading && !p.poll.After(now) {
+			return e.order(plank.Residency{Adapter: p.ref, Version: p.version}, false)
+		}
+	}
+	return nil
+}
+
+// adapterOrder makes room for and loads the adapter of the first ticket that
+// needs one.
+func (e *Engine) adapterOrder(now time.Time, cold func() bool) *plank.Order {
+	if e.loadingCount() >= maxLoading {
+		return nil
+	}
+	for _, t := range e.queue {
+		if t.Adapter.Name == "" || !e.bases[t.Adapter.Base] {
+			continue
+		}
+		p := e.places[t.Adapter]
+		if p != nil && (p.state != resident || !e.isStale(p, now, t.Version)) {
+			continue
+		}
+		if p != nil && p.users > 0 {
+			continue // a replacement would wait for its runs and hold up others
+		}
+		want := e.wanted(t)
+		if p == nil && len(e.places) >= e.limits.MaxAdapters {
+			if victim := e.victim(now); victim != nil {
+				return e.order(plank.Residency{Adapter: victim.ref}, true)
+			}
+			return nil
+		}
+		if !e.isCached(t.Adapter) && !cold() {
+			return nil
+		}
+		return e.order(want, false)
+	}
+	return nil
+}
+
+// wanted returns what to load for a ticket.
+func (e *Engine) wanted(t *ticket) plank.Residency {
+	newest, _ := e.newest(t.Adapter)
+	return plank.Residency{Adapter: t.Adapter, Version: max(newest, t.Version)}
+}
+
+func (e *Engine) loadingCount() int {
+	n := 0
+	for _, p := range e.places {
+		if p.state != resident {
+			n++
+		}
+	}
+	return n
+}
+
+// coldCount counts loads from the weight store that are under way.
+func (e *Engine) coldCount() int {
+	n := 0
+	for _, p := range e.places {
+		if p.state != resident && p.cold {
+			n++
+		}
+	}
+	return n
+}
+
+// victim picks an idle place that no ticket waits for.
+func (e *Engine) victim(now time.Time) *place {
+	var idle []*place
+	var slots []plank.Slot
+	for _, p := range e.places {
+		if p.state != resident || p.users > 0 || e.isAwaited(p.ref) {
+			continue
+		}
+		idle = append(idle, p)
+		slots = append(slots, plank.Slot{
+			Model: plank.Model{Adapter: plank.AdapterID(p.ref.String())}, Uses: p.agedUses(now),
+			LastUse: p.used, LoadedAt: p.loaded, Copies: 1,
+		})
+	}
+	if i := e.evictor.Victim(slots, len(e.queue), now); i >= 0 {
+		return idle[i]
+	}
+	return nil
+}
+
+func (e *Engine) isAwaited(ref plank.AdapterRef) bool {
+	return slices.ContainsFunc(e.queue, func(t *ticket) bool { return t.Adapter == ref })
+}
+
+func (e *Engine) isCached(ref plank.AdapterRef) bool { return slices.Contains(e.cached, ref) }
+
+// order returns an order with the fence and the count of orders so far.
+func (e *Engine) order(target plank.Residency, unload bool) *plank.Order {
+	return &plank.Order{Unload: unload, Target: target, Expect: e.seq, Fence: e.fence}
+}
+
+// ordered takes the result of an order. fenced tells that the duty is lost.
+func (e *Engine) ordered(o plank.Order, result plank.OrderResult, err error, now time.Time) (fenced bool) {
+	e.busy = false
+	if err != nil || result == plank.OrderConflict || result == plank.OrderMoved || result == plank.OrderRejected {
+		e.doubt(o, err != nil, now)
+		return false
+	}
+	if result == plank.OrderFenced {
+		return true
+	}
+	if result == plank.OrderPending || o.Unload {
+		e.ordersAt = now
+	}
+	if o.Target.Adapter.Name == "" {
+		e.baseLoad = result == plank.OrderPending
+		if e.baseLoad {
+			e.seq++
+			e.nextStatus = now.Add(basePoll)
+		} else {
+			e.bases[o.Target.Adapter.Base] = true
+		}
+		return false
+	}
+	if o.Unload {
+		e.unloaded(o, result, now)
+	} else {
+		e.loaded(o, result, now)
+	}
+	return false
+}
+
+func (e *Engine) unloaded(o plank.Order, result plank.OrderResult, now time.Time) {
+	e.seq++
+	delete(e.places, o.Target.Adapter)
+	if result == plank.OrderPending {
+		// Calls of a former holder still run on it; the state tells when it is
+		// gone.
+		e.doubt(o, false, now)
+	}
+}
+
+func (e *Engine) loaded(o plank.Order, result plank.OrderResult, now time.Time) {
+	p := e.places[o.Target.Adapter]
+	isPoll := p != nil && p.state == loading && p.version == o.Target.Version
+	if p == nil {
+		p = &place{ref: o.Target.Adapter, used: now}
+		e.places[p.ref] = p
+	}
+	p.version = o.Target.Version
+	switch {
+	case result == plank.OrderDone:
+		p.state = resident
+		p.loaded = now
+		e.remember(p.ref)
+	case isPoll:
+		p.poll = now.Add(pollEvery)
+		if early := now.Sub(p.loaded); early < coldPoll {
+			p.poll = now.Add(coldPoll - early)
+			p.cold = true
+		}
+	default:
+		p.state = loading
+		p.cold = !e.isCached(p.ref)
+		p.loaded = now // of the order, until the load has ended
+		p.poll = now.Add(warmPoll)
+		if p.cold {
+			p.poll = now.Add(coldPoll)
+		}
+	}
+	if !isPoll && result == plank.OrderPending {
+		e.seq++
+	}
+}
+
+// remember notes an adapter as held lately.
+func (e *Engine) remember(ref plank.AdapterRef) {
+	e.cached = slices.DeleteFunc(e.cached, func(r plank.AdapterRef) bool { return r == ref })
+	e.cached = append(e.cached, ref)
+	if len(e.cached) > maxCached {
+		e.cached = slices.Delete(e.cached, 0, len(e.cached)-maxCached)
+	}
+}
+
+// doubt makes the engine's state unknown until it was read anew. After an order
+// without an answer the adapter keeps its place: the order may be carried out.
+func (e *Engine) doubt(o plank.Order, unanswered bool, now time.Time) {
+	e.known = false
+	e.readAfter = maxTime(now, e.ordersAt.Add(reportLag))
+	if !unanswered {
+		return
+	}
+	e.readAfter = now.Add(reportLag)
+	p := e.places[o.Target.Adapter]
+	if p == nil && !o.Unload && o.Target.Adapter.Name != "" {
+		p = &place{ref: o.Target.Adapter, version: o.Target.Version, used: now}
+		e.places[o.Target.Adapter] = p
+	}
+	if p != nil {
+		p.state = doubtful
+	}
+}
+
+// read takes the engine's own state, asked for at the given time.
+func (e *Engine) read(s plank.EngineStatus, err error, asked, now time.Time) {
+	e.busy = false
+	e.nextStatus = now.Add(statusEvery)
+	if err != nil {
+		e.readAfter = now.Add(basePoll)
+		return
+	}
+	if asked.Before(e.readAfter) || asked.Sub(e.ordersAt) < reportLag {
+		return // the state may be from before the last order
+	}
+	e.known = true
+	e.seq = s.Seq
+	clear(e.bases)
+	for _, b := range s.Bases {
+		e.bases[b] = true
+	}
+	e.baseLoad = e.baseLoad && len(e.bases) == 0
+	if e.baseLoad {
+		e.nextStatus = now.Add(basePoll)
+	}
+	e.readPlaces(s, now)
+	e.cached = e.cached[:0]
+	for _, ref := range s.Cached {
+		e.remember(ref)
+	}
+	for ref := range e.places {
+		e.remember(ref)
+	}
+}
+
+// readPlaces brings the places in line with the engine's own state.
+func (e *Engine) readPlaces(s plank.EngineStatus, now time.Time) {
+	seen := make(map[plank.AdapterRef]bool)
+	take := func(r plank.Residency, state placeState) {
+		seen[r.Adapter] = true
+		p := e.places[r.Adapter]
+		if p == nil {
+			p = &place{ref: r.Adapter, used: now, loaded: now}
+			e.places[r.Adapter] = p
+		}
+		p.state, p.version = state, r.Version
+		if state == loading {
+			p.poll = now
+		}
+	}
+	for _, r := range s.Resident {
+		take(r, resident)
+	}
+	for _, r := range s.Loading {
+		take(r, loading)
+	}
+	for ref, p := range e.places {
+		if !seen[ref] && p.users == 0 {
+			delete(e.places, ref)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limit/tally.go
@@ -0,0 +1,175 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"knapweedplank.org/plank"
+)
+
+// The rules of tallies.
+const (
+	// restartFill is the part of a burst that a VM begins with after a restart,
+	// when it does not know what the others admitted before.
+	restartFill = 0.25
+	// maxDebt is how far the others' use can take a tally below zero, as a part
+	// of the burst.
+	maxDebt = 1.0
+	// minReach keeps a VM that hears nobody serving.
+	minReach = 0.05
+)
+
+// A Tally holds the limits of all workspaces over the fleet by counting: each
+// VM tells the others what it admitted since its start and deducts what they
+// tell. While it does not hear some of them it uses only its part of the rate,
+// so that the parts of a fleet that is split admit no more than the whole.
+//
+// It suits callers that spread unevenly over VMs that hear each other within
+// milliseconds; what is admitted too much is bounded by that delay. It is safe
+// for concurrent use.
+type Tally struct {
+	clock plank.Clock
+	stamp func() uint64 // numbers a change
+
+	mu      sync.Mutex
+	fill    float64 // part of the burst that new workspaces begin with
+	reach   float64 // part of the fleet that is heard, this VM included
+	entries map[plank.WorkspaceID]*tallyEntry
+	peers   map[plank.VMID]*peerTotals
+}
+
+type tallyEntry struct {
+	rate, burst float64
+	level       float64
+	at          time.Time
+	total       float64 // admitted here since the start
+	change      uint64  // when total changed last
+}
+
+type peerTotals struct {
+	boot   plank.BootID
+	totals map[plank.WorkspaceID]float64
+}
+
+// A Usage is what one VM admitted of a workspace since its start.
+type Usage struct {
+	Workspace plank.WorkspaceID
+	Total     plank.Tokens
+}
+
+// NewTally returns a tally without limits. full tells that no other VM has
+// admitted anything yet. stamp returns rising numbers and is called at each
+// change of this VM's usage.
+func NewTally(clock plank.Clock, full bool, stamp func() uint64) *Tally {
+	fill := restartFill
+	if full {
+		fill = 1
+	}
+	return &Tally{
+		clock: clock, fill: fill, reach: 1, stamp: stamp,
+		entries: make(map[plank.WorkspaceID]*tallyEntry), peers: make(map[plank.VMID]*peerTotals),
+	}
+}
+
+// SetLimits takes the limits of a configuration.
+func (t *Tally) SetLimits(workspaces []plank.Workspace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for _, w := range workspaces {
+		e := t.entries[w.ID]
+		if e == nil {
+			e = &tallyEntry{at: now, level: t.fill * float64(w.Burst)}
+			t.entries[w.ID] = e
+		}
+		t.refill(e, now)
+		e.rate, e.burst = float64(w.Rate), float64(w.Burst)
+		e.level = min(e.level, e.burst*t.reach)
+	}
+	// Workspaces that come later have admitted nothing before.
+	t.fill = 1
+}
+
+// SetReach tells how many VMs of those known are heard, this one included.
+func (t *Tally) SetReach(heard, known int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for _, e := range t.entries {
+		t.refill(e, now)
+	}
+	t.reach = max(minReach, float64(heard)/float64(max(1, known)))
+}
+
+// refill brings an entry to now. The lock is held.
+func (t *Tally) refill(e *tallyEntry, now time.Time) {
+	seconds := max(0, now.Sub(e.at).Seconds())
+	e.at = now
+	e.level = min(e.level+e.rate*t.reach*seconds, max(e.level, e.burst*t.reach))
+}
+
+// Take admits a call of the given cost, or returns the time after which it
+// could be.
+func (t *Tally) Take(ws plank.WorkspaceID, cost plank.Tokens) (bool, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[ws]
+	if e == nil || e.rate <= 0 {
+		return true, 0
+	}
+	t.refill(e, t.clock.Now())
+	// A call that is larger than the burst runs on a full bucket.
+	need := min(float64(cost), e.burst*t.reach)
+	if e.level < need {
+		missing := (need - e.level) / (e.rate * t.reach)
+		return false, time.Duration(missing * float64(time.Second))
+	}
+	t.use(e, float64(cost))
+	return true, 0
+}
+
+// Refund gives back what a call took that did not run.
+func (t *Tally) Refund(ws plank.WorkspaceID, cost plank.Tokens) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[ws]; e != nil && e.rate > 0 {
+		t.use(e, -float64(cost))
+	}
+}
+
+// use counts tokens. The lock is held.
+func (t *Tally) use(e *tallyEntry, cost float64) {
+	e.level -= cost
+	e.total += cost
+	e.change = t.stamp()
+}
+
+// Heard deducts what another VM admitted since it was last heard of.
+func (t *Tally) Heard(vm plank.VMID, boot plank.BootID, ws plank.WorkspaceID, total plank.Tokens) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[vm]
+	if p == nil || p.boot != boot {
+		p = &peerTotals{boot: boot, totals: make(map[plank.WorkspaceID]float64)}
+		t.peers[vm] = p
+	}
+	delta := float64(total) - p.totals[ws]
+	p.totals[ws] = float64(total)
+	if e := t.entries[ws]; e != nil && e.rate > 0 {
+		t.refill(e, t.clock.Now())
+		e.level = max(e.level-delta, -maxDebt*e.burst)
+	}
+}
+
+// Changed returns the usages that changed after the given change.
+func (t *Tally) Changed(after uint64) []Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Usage
+	for ws, e := range t.entries {
+		if e.change > after {
+			out = append(out, Usage{Workspace: ws, Total: plank.Tokens(e.total)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,303 @@
+// Package mesh defines what the VMs of a fleet tell each other: each sends its
+// state to the others on a lasting stream, at once when it changed and else at
+// a steady pace, so that a silent VM is noticed.
+package mesh
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// The times of messages between VMs.
+const (
+	// beatEvery is the pause between messages while nothing changes.
+	beatEvery = 300 * time.Millisecond
+	// minGap and gapPerPeer bound the pace of messages when things change: each
+	// VM sends to all others, so the pace falls as the fleet grows.
+	minGap     = 20 * time.Millisecond
+	gapPerPeer = 3 * time.Millisecond
+	// AliveTime is how long a VM counts as reachable after a message: four
+	// messages may be late or lost.
+	AliveTime = 1300 * time.Millisecond
+	// redialAfter is the pause before a VM that does not answer is tried again.
+	redialAfter = 500 * time.Millisecond
+	// forgetTime is how long a VM that never answers is tried.
+	forgetTime = 30 * time.Second
+	// sendTimeout bounds one message.
+	sendTimeout = time.Second
+)
+
+// A Local composes this VM's part of a message.
+type Local interface {
+	// Gossip returns the state, with the parts that changed after the given
+	// change, and the number of the last change that it covers.
+	Gossip(after uint64) (*wire.Gossip, uint64)
+	// Merge takes the parts of a peer's message that the mesh does not keep.
+	Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip)
+}
+
+// Self names this VM.
+type Self struct {
+	VM      plank.VMID
+	Boot    plank.BootID
+	Domain  plank.DomainID
+	Address string
+}
+
+// A Mesh knows the other VMs. It is safe for concurrent use.
+type Mesh struct {
+	self  Self
+	hub   *peer.Hub
+	local Local
+	clock plank.Clock
+	log   *logrus.Entry
+	ctx   context.Context
+
+	mu    sync.Mutex
+	peers map[plank.VMID]*Peer
+	// senders holds the addresses to which a loop sends, with its wake-up.
+	senders map[string]chan struct{}
+	engines map[plank.EndpointID]Engine
+}
+
+// New returns a mesh whose loops end with ctx.
+func New(ctx context.Context, self Self, hub *peer.Hub, local Local, clock plank.Clock, log *logrus.Entry) *Mesh {
+	m := &Mesh{
+		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx,
+		peers: make(map[plank.VMID]*Peer), senders: make(map[string]chan struct{}),
+		engines: make(map[plank.EndpointID]Engine),
+	}
+	go func() {
+		for pause.For(ctx, redialAfter) {
+			m.sweep()
+		}
+	}()
+	return m
+}
+
+// Contact begins to send to the VM at addr, if it does not yet.
+func (m *Mesh) Contact(addr string) {
+	if addr == "" || addr == m.self.Address {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.senders[addr] != nil {
+		return
+	}
+	wake := make(chan struct{}, 1)
+	m.senders[addr] = wake
+	go func() {
+		m.sendTo(addr, wake)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.senders, addr)
+	}()
+}
+
+// Wake sends changes to all VMs soon.
+func (m *Mesh) Wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, wake := range m.senders {
+		select {
+		case wake <- struct{}{}:
+		default: // it is due already
+		}
+	}
+}
+
+// sendTo sends to one address until the VM there is given up.
+func (m *Mesh) sendTo(addr string, wake <-chan struct{}) {
+	answered := m.clock.Now()
+	for m.ctx.Err() == nil {
+		ctx, cancel := context.WithCancel(m.ctx)
+		if m.stream(ctx, addr, wake) {
+			answered = m.clock.Now()
+		}
+		cancel()
+		if m.clock.Now().Sub(answered) > forgetTime {
+			m.log.WithField("addr", addr).Info("mesh: gave up an address that does not answer")
+			return
+		}
+		pause.For(m.ctx, redialAfter)
+	}
+}
+
+// stream sends messages on one stream until it fails, or until the VM was not
+// heard of for so long that the connection is in doubt. It reports whether any
+// message went out.
+func (m *Mesh) stream(ctx context.Context, addr string, wake <-chan struct{}) bool {
+	g, last := m.compose(0)
+	s, err := m.hub.Open(ctx, addr, &wire.Call{Body: &wire.Call_Gossip{Gossip: g}})
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	opened := m.clock.Now()
+	for {
+		if !m.waitTurn(ctx, wake) {
+			return true
+		}
+		if now := m.clock.Now(); now.Sub(opened) > AliveTime && !m.heardFrom(addr, now) {
+			m.hub.Discard(addr)
+			return false
+		}
+		var g *wire.Gossip
+		g, last = m.compose(last)
+		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(g) != nil {
+			m.hub.Discard(addr)
+			return true
+		}
+	}
+}
+
+// waitTurn waits for the next message's time: soon after a change, or the
+// steady pace. It reports false when ctx has ended.
+func (m *Mesh) waitTurn(ctx context.Context, wake <-chan struct{}) bool {
+	gap := m.gap()
+	if !pause.For(ctx, gap) {
+		return false
+	}
+	timer := time.NewTimer(beatEvery - min(gap, beatEvery/2))
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (m *Mesh) gap() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(minGap, time.Duration(len(m.senders))*gapPerPeer)
+}
+
+func (m *Mesh) compose(after uint64) (*wire.Gossip, uint64) {
+	g, last := m.local.Gossip(after)
+	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
+	return g, last
+}
+
+// heardFrom tells whether the VM at addr was heard of lately.
+func (m *Mesh) heardFrom(addr string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Address == addr && p.IsAlive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve takes the messages of one stream.
+func (m *Mesh) Serve(first *wire.Gossip, s *peer.Stream) {
+	for g := first; ; {
+		m.take(g)
+		g = new(wire.Gossip)
+		if s.SetDeadline(time.Now().Add(2*AliveTime)) != nil || s.Receive(g) != nil {
+			return
+		}
+	}
+}
+
+// take merges one message.
+func (m *Mesh) take(g *wire.Gossip) {
+	vm := plank.VMID(g.Vm)
+	if vm == "" || vm == m.self.VM {
+		return
+	}
+	now := m.clock.Now()
+	m.mu.Lock()
+	p := m.peers[vm]
+	if p == nil {
+		p = &Peer{VM: vm}
+		m.peers[vm] = p
+	}
+	if !p.IsAlive(now) {
+		m.log.WithFields(logrus.Fields{"vm": vm, "addr": g.Address}).Info("mesh: peer heard")
+	}
+	p.merge(g, now)
+	for _, e := range g.Engines {
+		m.takeEngine(p, e, now)
+	}
+	m.mu.Unlock()
+	m.Contact(g.Address)
+	m.local.Merge(vm, plank.BootID(g.Boot), g)
+}
+
+// takeEngine keeps what a holder tells. The lock is held.
+func (m *Mesh) takeEngine(p *Peer, e *wire.EngineState, now time.Time) {
+	id := plank.EndpointID(e.Endpoint)
+	if !e.Gone {
+		m.engines[id] = Engine{Holder: p.VM, Address: p.Address, State: e, Heard: now}
+	} else if m.engines[id].Holder == p.VM {
+		delete(m.engines, id)
+	}
+}
+
+// SetOwn keeps what this VM knows of an engine that it orders; nil ends it.
+func (m *Mesh) SetOwn(id plank.EndpointID, state *wire.EngineState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state != nil {
+		m.engines[id] = Engine{Holder: m.self.VM, State: state, Heard: m.clock.Now()}
+	} else if m.engines[id].Holder == m.self.VM {
+		delete(m.engines, id)
+	}
+}
+
+// Engine returns what is known of an engine, and whether its holder is alive.
+func (m *Mesh) Engine(id plank.EndpointID) (e Engine, alive bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.engines[id]
+	if !ok {
+		return Engine{}, false
+	}
+	if e.Holder == m.self.VM {
+		return e, true
+	}
+	p := m.peers[e.Holder]
+	return e, p != nil && p.IsAlive(m.clock.Now())
+}
+
+// Peers returns what is known of all other VMs.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Peer, 0, len(m.peers))
+	for _, vm := range slices.Sorted(maps.Keys(m.peers)) {
+		out = append(out, *m.peers[vm])
+	}
+	return out
+}
+
+// sweep forgets VMs that were silent for long, and logs those that fell silent.
+func (m *Mesh) sweep() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for vm, p := range m.peers {
+		silent := now.Sub(p.Heard)
+		if silent > AliveTime && silent <= AliveTime+redialAfter {
+			m.log.WithFields(logrus.Fields{"vm": vm, "silent_ms": silent.Milliseconds()}).Warn("mesh: peer silent")
+		}
+		if silent > forgetTime {
+			delete(m.peers, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/peer.go
@@ -0,0 +1,63 @@
+package mesh
+
+import (
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// A Peer is what a VM knows of another one.
+type Peer struct {
+	VM      plank.VMID
+	Boot    plank.BootID
+	Domain  plank.DomainID
+	Address string
+	// Heard is when the VM's last message arrived. It is zero if the VM is only
+	// known by name.
+	Heard    time.Time
+	Leaving  bool
+	Manifest plank.ManifestVersion
+	// Flights counts the VM's calls by endpoint.
+	Flights map[plank.EndpointID]int
+	// Duties holds the VM's terms by domain.
+	Duties map[plank.DomainID]Duty
+	// Cold counts the loads from the weight store that the VM has ordered.
+	Cold int
+}
+
+// A Duty is a domain whose engines a VM orders.
+type Duty struct {
+	Term plank.Term
+	// Version is the lease object's when it was last renewed.
+	Version plank.ObjectVersion
+}
+
+// IsAlive tells whether the VM was heard of lately.
+func (p *Peer) IsAlive(now time.Time) bool { return now.Sub(p.Heard) < AliveTime }
+
+// An Engine is what the holder of a domain tells of one of its engines.
+type Engine struct {
+	Holder plank.VMID
+	// Address reaches the holder; it is empty for this VM.
+	Address string
+	State   *wire.EngineState
+	Heard   time.Time
+}
+
+// merge takes a message. It returns the usage changes for the caller.
+func (p *Peer) merge(g *wire.Gossip, now time.Time) {
+	if p.Boot != plank.BootID(g.Boot) {
+		p.Boot = plank.BootID(g.Boot)
+	}
+	p.Domain, p.Address, p.Leaving = plank.DomainID(g.Domain), g.Address, g.Leaving
+	p.Heard, p.Manifest, p.Cold = now, plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
+	p.Flights = make(map[plank.EndpointID]int, len(g.Flights))
+	for _, f := range g.Flights {
+		p.Flights[plank.EndpointID(f.Endpoint)] = int(f.Calls)
+	}
+	p.Duties = make(map[plank.DomainID]Duty, len(g.Duties))
+	for _, d := range g.Duties {
+		p.Duties[plank.DomainID(d.Domain)] = Duty{Term: plank.Term(d.Term), Version: plank.ObjectVersion(d.Version)}
+	}
+}
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,199 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/duty"
+	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// dutyPace is the pause between looks at the leases.
+const dutyPace = 150 * time.Millisecond
+
+// orphanTime is how long no VM of a domain must be alive before one of another
+// domain takes its duty.
+const orphanTime = 2 * time.Second
+
+// A dutyLoop keeps the leases on the domains' engines. It belongs to the
+// control goroutine.
+type dutyLoop struct {
+	n      *Node
+	leases map[plank.DomainID]*duty.Lease
+	fenced chan fencing
+	// aliveAt is when a VM of a domain was last known to be alive.
+	aliveAt map[plank.DomainID]time.Time
+	// stopped is closed to end the loop, with the context for the release.
+	stopped chan context.Context
+	ended   chan struct{}
+}
+
+type fencing struct {
+	domain plank.DomainID
+	term   plank.Term
+}
+
+// run steps the leases until ctx ends.
+func (l *dutyLoop) run(ctx context.Context) {
+	defer close(l.ended)
+	ticker := time.NewTicker(dutyPace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			l.step(ctx)
+		case stop := <-l.stopped:
+			l.release(stop)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stop ends the loop and gives all leases up, within the context's time.
+func (l *dutyLoop) stop(ctx context.Context) {
+	select {
+	case l.stopped <- ctx:
+		<-l.ended
+	case <-l.ended:
+	}
+}
+
+func (l *dutyLoop) step(ctx context.Context) {
+	l.takeFencings()
+	n := l.n
+	now := n.clock.Now()
+	v := n.view.Load()
+	for _, d := range l.domains() {
+		lease := l.leases[d]
+		if lease == nil {
+			lease = duty.New(d, n.settings.VM, n.boot, n.settings.Bounds.Lease, n.settings.FencesChecked, n.store, n.clock, n.log)
+			l.leases[d] = lease
+			l.aliveAt[d] = now
+		}
+		lease.Step(ctx, l.facts(d, now))
+	}
+	var duties []*wire.Duty
+	for _, d := range slices.Sorted(maps.Keys(l.leases)) {
+		if term := l.leases[d].Term(); term > 0 {
+			duties = append(duties, &wire.Duty{Domain: string(d), Term: uint64(term), Version: uint64(l.leases[d].Version())})
+		}
+	}
+	n.state.setDuties(duties)
+	l.sync(v.Instances)
+	n.observeReach(now)
+}
+
+// takeFencings gives up the leases that engines no longer accept.
+func (l *dutyLoop) takeFencings() {
+	for {
+		select {
+		case f := <-l.fenced:
+			if lease := l.leases[f.domain]; lease != nil {
+				lease.Refuse(f.term)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// domains returns the domains that have engines.
+func (l *dutyLoop) domains() []plank.DomainID {
+	v := l.n.view.Load()
+	seen := make(map[plank.DomainID]bool)
+	for _, inst := range v.Instances {
+		if v.Pool(inst.Service) != nil {
+			seen[inst.Domain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// facts gathers what is known of a domain.
+func (l *dutyLoop) facts(d plank.DomainID, now time.Time) duty.Facts {
+	n := l.n
+	var f duty.Facts
+	inDomain, others := []plank.VMID{}, []plank.VMID{}
+	if n.settings.Domain == d {
+		inDomain = append(inDomain, n.settings.VM)
+	} else {
+		others = append(others, n.settings.VM)
+	}
+	for _, p := range n.mesh.Peers() {
+		if !p.IsAlive(now) {
+			continue
+		}
+		if claim, ok := p.Duties[d]; ok {
+			f.Claimed = true
+			f.Version = max(f.Version, claim.Version)
+		}
+		if p.Leaving {
+			continue
+		}
+		if p.Domain == d {
+			inDomain = append(inDomain, p.VM)
+		} else {
+			others = append(others, p.VM)
+		}
+	}
+	if len(inDomain) > 0 {
+		l.aliveAt[d] = now
+		f.Candidates = inDomain
+	} else if now.Sub(l.aliveAt[d]) > orphanTime {
+		f.Candidates = others
+	}
+	return f
+}
+
+// sync tells the keeper which engines this VM orders.
+func (l *dutyLoop) sync(instances map[plank.EndpointID]plank.Instance) {
+	v := l.n.view.Load()
+	var held []grant.Held
+	total := 0
+	for _, id := range slices.Sorted(maps.Keys(instances)) {
+		inst := instances[id]
+		pool := v.Pool(inst.Service)
+		if pool == nil {
+			continue
+		}
+		total++
+		lease := l.leases[inst.Domain]
+		if lease == nil || lease.Term() == 0 || inst.Leaving {
+			continue
+		}
+		held = append(held, grant.Held{Instance: inst, Limits: limits(pool), Term: lease.Term()})
+	}
+	l.n.keeper.Sync(held, total)
+}
+
+// limits returns the bounds of a pool's engines.
+func limits(p *plank.EnginePool) grant.Limits {
+	l := grant.Limits{Slots: p.Slots, Memory: p.Memory, MaxAdapters: p.MaxAdapters}
+	if len(p.Bases) == 1 {
+		l.Base = p.Bases[0].ID
+	}
+	return l
+}
+
+// release gives all leases up in favour of VMs that stay.
+func (l *dutyLoop) release(ctx context.Context) {
+	now := l.n.clock.Now()
+	for d, lease := range l.leases {
+		var successor plank.VMID
+		for _, p := range l.n.mesh.Peers() {
+			if p.IsAlive(now) && !p.Leaving && p.Domain == d {
+				successor = p.VM
+				break
+			}
+		}
+		lease.Release(ctx, successor)
+	}
+	l.n.state.setDuties(nil)
+	l.n.keeper.Sync(nil, 0)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,311 @@
+// Package node wires the parts of a daemon that runs on the users' platform.
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/conns"
+	"knapweedplank.org/plank/internal/duty"
+	"knapweedplank.org/plank/internal/front"
+	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/health"
+	"knapweedplank.org/plank/internal/limit"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pause"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/place"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/watch"
+	"knapweedplank.org/plank/internal/wire"
+	"knapweedplank.org/plank/platform"
+)
+
+// The times of a daemon.
+const (
+	storeTimeout = 700 * time.Millisecond
+	// watchWait is how long a watch waits; a connection that went silent is
+	// noticed watchGrace after it.
+	watchWait  = 2 * time.Second
+	watchGrace = 500 * time.Millisecond
+	// eventPace gathers events of the store into one call.
+	eventPace = 250 * time.Millisecond
+	// dialTimeout bounds a connection to an endpoint.
+	dialTimeout = 500 * time.Millisecond
+	// crashProbe bounds the look whether an endpoint that broke off is down.
+	crashProbe = 300 * time.Millisecond
+	sweepEvery = 500 * time.Millisecond
+	// keepAlive is how long callers' idle connections are kept. It is longer
+	// than any caller keeps one.
+	keepAlive     = time.Minute
+	headerTimeout = 10 * time.Second
+	// budgetPart is the part of the retries allowed that VMs use, since they
+	// count apart.
+	budgetPart = 0.8
+)
+
+// A Node is a daemon.
+type Node struct {
+	settings *platform.Settings
+	boot     plank.BootID
+	clock    plank.Clock
+	log      *logrus.Entry
+	registry metrics.Registry
+
+	store   *platform.Store
+	pool    *conns.Pool
+	view    *view.Holder
+	mesh    *mesh.Mesh
+	hub     *peer.Hub
+	keeper  *grant.Keeper
+	tally   *limit.Tally
+	budgets *front.Budgets
+	poison  *poison.Table
+	desk    *front.Desk
+	duties  *dutyLoop
+	state   *state
+	known   releaseTimes
+
+	cancel   context.CancelFunc
+	callers  *http.Server
+	ready    *http.Server
+	stopping atomic.Bool
+	running  sync.WaitGroup
+}
+
+// New starts a daemon.
+func New(settings *platform.Settings, log *logrus.Logger) (*Node, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		settings: settings, boot: newBoot(), clock: plank.SystemClock{}, cancel: cancel,
+		log: log.WithField("vm", settings.VM), registry: metrics.NewRegistry(),
+	}
+	n.buildState()
+	n.buildClients()
+	n.hub = peer.New(net.ParseIP(settings.IP), nil, n.log)
+	self := mesh.Self{VM: settings.VM, Boot: n.boot, Domain: settings.Domain, Address: settings.Control}
+	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
+	n.duties = &dutyLoop{
+		n: n, leases: make(map[plank.DomainID]*duty.Lease), fenced: make(chan fencing, 16), aliveAt: make(map[plank.DomainID]time.Time),
+		stopped: make(chan context.Context), ended: make(chan struct{}),
+	}
+	n.buildKeeper(ctx)
+	if err := n.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	n.start(ctx)
+	n.log.WithFields(logrus.Fields{"boot": n.boot, "domain": settings.Domain, "callers": settings.Callers, "bootstrap": settings.Bootstrap}).Info("node: started")
+	return n, nil
+}
+
+func newBoot() plank.BootID {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return plank.BootID(hex.EncodeToString(b[:]))
+}
+
+// buildState makes the parts that hold what is known.
+func (n *Node) buildState() {
+	n.state = &state{
+		wake:    func() { n.mesh.Wake() },
+		engines: make(map[plank.EndpointID]engineChange), suspects: make(map[plank.Fingerprint]suspectChange),
+	}
+	n.view = view.New(n.viewChanged)
+	n.tally = limit.NewTally(n.clock, n.settings.Bootstrap, n.state.stamp)
+	n.poison = poison.New(n.clock, n.state.setSuspect)
+	n.state.view, n.state.tally, n.state.poison = n.view, n.tally, n.poison
+	n.state.flights = front.NewFlights(func() { n.mesh.Wake() })
+	n.known.since = make(map[plank.AdapterRef]time.Time)
+	b := n.settings.Bounds
+	n.budgets = front.NewBudgets(b.RetryRatio*budgetPart, b.RetrySlack*budgetPart)
+}
+
+// buildClients makes the clients of the store and of the endpoints.
+func (n *Node) buildClients() {
+	dialer := net.Dialer{Timeout: storeTimeout, Control: conns.SetUserTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}
+	n.store = platform.NewStore(n.settings.Store, &http.Client{Transport: transport}, platform.StoreOptions{
+		CallTimeout: storeTimeout, WatchWait: watchWait, WatchGrace: watchGrace,
+		Called: func(op string, status int, err error) {
+			name := "Store." + op
+			if err != nil {
+				name = fmt.Sprintf("%s.Failed%d", name, status)
+			}
+			metrics.GetOrRegisterCounter(name, n.registry).Inc(1)
+		},
+	})
+	dialed := metrics.GetOrRegisterCounter("Endpoints.Dialed", n.registry)
+	n.pool = conns.New(conns.Options{DialTimeout: dialTimeout, Clock: n.clock, Dialed: func() { dialed.Inc(1) }})
+}
+
+// buildKeeper makes the keeper of the engines that this VM orders.
+func (n *Node) buildKeeper(ctx context.Context) {
+	n.keeper = grant.NewKeeper(ctx, grant.Deps{
+		Self: n.settings.VM, Operator: platform.NewOperator(n.pool), Evictor: place.Value{}, Clock: n.clock, Log: n.log,
+		Newest: n.newest, Cold: n.peersCold,
+		Publish: func(id plank.EndpointID, s *wire.EngineState) {
+			n.mesh.SetOwn(id, s)
+			n.state.setEngine(id, s)
+		},
+		Fenced: func(domain plank.DomainID, term plank.Term) {
+			select {
+			case n.duties.fenced <- fencing{domain, term}:
+			default: // the same loss is queued already
+			}
+		},
+	})
+	n.desk = &front.Desk{Keeper: n.keeper, Hub: n.hub, Clock: n.clock, Log: n.log}
+}
+
+// newest returns the newest version of an adapter and since when it is known.
+func (n *Node) newest(ref plank.AdapterRef) (plank.VersionNumber, time.Time) {
+	return n.view.Load().Versions[ref], n.known.of(ref)
+}
+
+// peersCold counts the loads from the weight store that others have under way.
+func (n *Node) peersCold() int {
+	total, now := 0, n.clock.Now()
+	for _, p := range n.mesh.Peers() {
+		if p.IsAlive(now) {
+			total += p.Cold
+		}
+	}
+	return total
+}
+
+// viewChanged takes what of a new view is kept elsewhere.
+func (n *Node) viewChanged(v *view.View) {
+	if v.Manifest != nil {
+		n.tally.SetLimits(v.Manifest.Workspaces)
+	}
+	n.known.note(v.Versions, n.clock.Now())
+}
+
+// observeReach tells limits and budgets how much of the fleet is heard.
+func (n *Node) observeReach(now time.Time) {
+	heard, known := 1, 1
+	for _, p := range n.mesh.Peers() {
+		if p.Leaving && !p.IsAlive(now) {
+			continue
+		}
+		known++
+		if p.IsAlive(now) {
+			heard++
+		}
+	}
+	n.tally.SetReach(heard, known)
+	n.budgets.SetBurst(n.settings.Bounds.RetrySlack * budgetPart / float64(known))
+}
+
+// listen opens the daemon's ports.
+func (n *Node) listen() error {
+	callers, err := net.Listen("tcp", n.settings.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", n.settings.Ready)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", n.settings.Control)
+	if err != nil {
+		return err
+	}
+	server := front.New(front.Deps{
+		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Rooms: n.desk, Tally: n.tally, Budgets: n.budgets,
+		Health: health.New(n.clock), Poison: n.poison, Flights: n.state.flights, Sender: platform.NewSender(n.pool, n.clock),
+		Crashed: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
+	})
+	n.callers = &http.Server{
+		Handler:           platform.NewIngress(server, n.clock, n.maxBody, n.log),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, n.serveReady)
+	n.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	n.serve(n.callers, callers)
+	n.serve(n.ready, ready)
+	go func() { n.hub.Serve(peers, n) }()
+	return nil
+}
+
+// serve runs an HTTP server.
+func (n *Node) serve(s *http.Server, ln net.Listener) {
+	go func() {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			n.log.WithField("addr", ln.Addr().String()).WithError(err).Error("node: a server ended")
+		}
+	}()
+}
+
+func (n *Node) maxBody() int64 {
+	if m := n.view.Load().Manifest; m != nil {
+		return m.Limits.MaxBody
+	}
+	return 0
+}
+
+// isDown tells whether an endpoint takes no connections.
+func isDown(inst plank.Instance) bool {
+	conn, err := net.DialTimeout("tcp", inst.Addr, crashProbe)
+	if err != nil {
+		return true
+	}
+	conn.Close()
+	return false
+}
+
+// serveReady tells the platform whether this VM takes connections.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.view.Load().Manifest == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// start begins the loops of the daemon.
+func (n *Node) start(ctx context.Context) {
+	dir := platform.Directory{}
+	watch.New(ctx, n.store, platform.PrefixConfig, &watch.Manifests{Key: platform.KeyManifest, Dir: dir, View: n.view, Log: n.log}, eventPace, n.clock, n.log)
+	instances := watch.NewInstances(platform.PrefixServers, dir, n.view, n.clock, n.log)
+	watch.New(ctx, n.store, platform.PrefixServers, instances, eventPace, n.clock, n.log)
+	watch.New(ctx, n.store, platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log}, eventPace, n.clock, n.log)
+	for _, addr := range n.settings.Seeds {
+		n.mesh.Contact(addr)
+	}
+	go func() { n.mesh.Register(ctx, n.store) }()
+	n.running.Go(func() { n.duties.run(ctx) })
+	go func() {
+		for pause.For(ctx, sweepEvery) {
+			instances.Expire()
+			current := n.view.Load().Instances
+			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
+		}
+	}()
+}
+
+// Serve answers the calls of other VMs.
+func (n *Node) Serve(call *wire.Call, s *peer.Stream) {
+	switch body := call.Body.(type) {
+	case *wire.Call_Gossip:
+		n.mesh.Serve(body.Gossip, s)
+	case *wire.Call_Reserve:
+		n.desk.ServeReserve(body.Reserve, s)
+	default:
+		n.log.Warn("node: a peer made a call that is not known")
+	}
+}
--- /dev/null
+++ b/internal/node/prints.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"encoding/hex"
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// fmtPrint returns a fingerprint as text.
+func fmtPrint(fp plank.Fingerprint) string { return hex.EncodeToString([]byte(fp)) }
+
+// suspectEntry decodes what a peer tells of a request. A fingerprint that is
+// not in hexadecimal matches no request.
+func suspectEntry(x *wire.Suspect) poison.Entry {
+	fp, err := hex.DecodeString(x.Print)
+	if err != nil {
+		fp = []byte(x.Print)
+	}
+	return poison.Entry{
+		Print: plank.Fingerprint(fp), Crashes: int(x.Crashes), Quarantined: x.Quarantined, Until: time.Unix(x.UntilUnix, 0),
+	}
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/front"
+	"knapweedplank.org/plank/internal/limit"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// A state composes what this VM tells the others and takes what they tell.
+type state struct {
+	changes atomic.Uint64
+	wake    func() // sends changes soon
+	view    *view.Holder
+	tally   *limit.Tally
+	flights *front.Flights
+	poison  *poison.Table
+
+	mu      sync.Mutex
+	leaving bool
+	cold    int
+	duties  []*wire.Duty
+	engines map[plank.EndpointID]engineChange
+	// suspects holds the numbers of the changes of poison entries.
+	suspects map[plank.Fingerprint]suspectChange
+}
+
+type engineChange struct {
+	state  *wire.EngineState
+	change uint64
+}
+
+type suspectChange struct {
+	entry  poison.Entry
+	change uint64
+}
+
+var _ mesh.Local = (*state)(nil)
+
+// stamp numbers a change and wakes the mesh.
+func (s *state) stamp() uint64 {
+	n := s.changes.Add(1)
+	s.wake()
+	return n
+}
+
+// Gossip implements mesh.Local.
+func (s *state) Gossip(after uint64) (*wire.Gossip, uint64) {
+	last := s.changes.Load()
+	g := &wire.Gossip{}
+	if m := s.view.Load().Manifest; m != nil {
+		g.Manifest = uint64(m.Version)
+	}
+	for _, u := range s.tally.Changed(after) {
+		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total)})
+	}
+	for id, n := range s.flights.All() {
+		g.Flights = append(g.Flights, &wire.Flight{Endpoint: string(id), Calls: uint32(n)})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Leaving, g.ColdLoads, g.Duties = s.leaving, uint32(s.cold), s.duties
+	for id, e := range s.engines {
+		if e.change <= after {
+			continue
+		}
+		if e.state != nil {
+			g.Engines = append(g.Engines, e.state)
+		} else {
+			g.Engines = append(g.Engines, &wire.EngineState{Endpoint: string(id), Gone: true})
+		}
+	}
+	for fp, c := range s.suspects {
+		if c.change > after {
+			g.Suspects = append(g.Suspects, &wire.Suspect{
+				Print: fmtPrint(fp), Crashes: uint32(c.entry.Crashes), Quarantined: c.entry.Quarantined, UntilUnix: c.entry.Until.Unix(),
+			})
+		}
+	}
+	return g, last
+}
+
+// Merge implements mesh.Local.
+func (s *state) Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip) {
+	for _, u := range g.Usages {
+		s.tally.Heard(vm, boot, plank.WorkspaceID(u.Workspace), plank.Tokens(u.Tokens))
+	}
+	for _, x := range g.Suspects {
+		s.poison.Merge(suspectEntry(x))
+	}
+}
+
+// setEngine tells the others the state of an engine; nil ends it.
+func (s *state) setEngine(id plank.EndpointID, e *wire.EngineState) {
+	n := s.stamp()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines[id] = engineChange{state: e, change: n}
+}
+
+// setSuspect tells the others of a request that crashed an endpoint.
+func (s *state) setSuspect(e poison.Entry) {
+	n := s.stamp()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects[e.Print] = suspectChange{entry: e, change: n}
+}
+
+// setDuties tells the others which domains this VM has the duty of.
+func (s *state) setDuties(duties []*wire.Duty) {
+	s.mu.Lock()
+	changed := len(duties) != len(s.duties)
+	s.duties = duties
+	s.mu.Unlock()
+	if changed {
+		s.stamp()
+	}
+}
+
+func (s *state) setLeaving() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.stamp()
+}
+
+func (s *state) setCold(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cold = n
+}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"knapweedplank.org/plank/internal/pause"
+)
+
+// The steps of a planned stop, from the signal on.
+const (
+	// leaveTime is how long the platform goes on sending new connections after
+	// the VM says that it is not ready: it asks once a second, twice.
+	leaveTime = 2500 * time.Millisecond
+	// exitMargin is how long before the platform kills the process it ends.
+	exitMargin = 500 * time.Millisecond
+	// minGrace holds where the platform names no time.
+	minGrace = 5 * time.Second
+	// releaseTimeout bounds the release of the leases.
+	releaseTimeout = time.Second
+)
+
+// Shutdown stops the daemon gracefully: new connections go elsewhere first,
+// and calls in progress end before the process does.
+func (n *Node) Shutdown() {
+	deadline := n.clock.Now().Add(max(n.settings.Bounds.Grace, minGrace) - exitMargin)
+	n.log.Info("node: stopping")
+	n.stopping.Store(true)
+	n.state.setLeaving()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	released, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
+	n.duties.stop(released)
+	cancelRelease()
+	pause.For(ctx, leaveTime)
+	n.callers.SetKeepAlivesEnabled(false)
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.WithError(err).Warn("node: calls were still in progress at the end of the grace time")
+	}
+	n.cancel()
+	n.hub.Close()
+	n.log.Info("node: stopped")
+}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/conns"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -86,7 +87,8 @@
 // local unless that is the unspecified address.
 func New(local net.IP, tlsConfig *tls.Config, log *logrus.Entry) *Hub {
 	h := &Hub{
-		tls: tlsConfig, log: log,
+		dialer: net.Dialer{Control: conns.SetUserTimeout},
+		tls:    tlsConfig, log: log,
 		sessions: make(map[string]*yamux.Session), accepted: make(map[*yamux.Session]bool),
 	}
 	if local != nil && !local.IsUnspecified() {
@@ -288,6 +290,17 @@
 	s.Close()
 }
 
+// Discard closes the connection to addr, so that the next call dials anew.
+func (h *Hub) Discard(addr string) {
+	h.mu.Lock()
+	s := h.sessions[addr]
+	delete(h.sessions, addr)
+	h.mu.Unlock()
+	if s != nil {
+		s.Close()
+	}
+}
+
 // Close ends all connections.
 func (h *Hub) Close() {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/pick/engine.go
@@ -0,0 +1,133 @@
+// Package pick defines the choice of the endpoint for a call. It performs no
+// I/O.
+package pick
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"knapweedplank.org/plank"
+)
+
+// The parts of the expected time to the first token. The rates and times are
+// those of the engines' data sheets.
+const (
+	// prefillRate is how many prompt tokens an engine reads in a millisecond.
+	prefillRate = 38.0
+	// warmLoad and coldLoad are the times of a load of an adapter that the
+	// engine held lately, and of one from the weight store.
+	warmLoad = 25 * time.Millisecond
+	coldLoad = 250 * time.Millisecond
+	// evictTime is what an unload before a load costs.
+	evictTime = 5 * time.Millisecond
+	// placeWait is how long it takes, about, until a place is free where all
+	// are in use.
+	placeWait = 1500 * time.Millisecond
+	// staleWait is how long it takes, about, until the runs on an old version
+	// have ended.
+	staleWait = 800 * time.Millisecond
+	// runCost is what each running call adds to the others' steps.
+	runCost = time.Millisecond
+	// farCost is a hop to another failure domain and the price of its bytes.
+	farCost = 15 * time.Millisecond
+	// failCost is what a certain failure counts as.
+	failCost = 3 * time.Second
+	// hashSpread is how much of a load's time the rendezvous hash decides, so
+	// that all VMs prefer the same engine for an adapter.
+	hashSpread = 120 * time.Millisecond
+	// queueCost is what each call that waits for room adds.
+	queueCost = 150 * time.Millisecond
+)
+
+// An Engine is an engine as a choice sees it.
+type Engine struct {
+	Instance plank.Instance
+	// Known is set when its holder tells its state.
+	Known bool
+	// Resident, Stale and Loading tell how the engine has the adapter.
+	Resident, Stale, Loading bool
+	// Places and Idle count the places for adapters that are taken, and those
+	// of them that are idle; MaxPlaces is how many there are.
+	Places, Idle, MaxPlaces int
+	Running, Queued, Slots  int
+	Backlog                 plank.Tokens // prompts not yet read
+	Used, Memory            plank.Tokens
+	FailRate                float64
+	Avoid                   bool
+	Far                     bool
+}
+
+// A Work is the call that an engine is chosen for.
+type Work struct {
+	Adapter plank.AdapterRef
+	// Prefix names the shared part of the prompt; calls with the same one read
+	// faster where it was read before.
+	Prefix string
+	Prompt plank.Tokens
+	Output plank.Tokens
+}
+
+// FirstToken returns the expected time to the first token on an engine.
+func FirstToken(e *Engine, w Work) time.Duration {
+	d := tokensTime(e.Backlog + w.Prompt)
+	d += time.Duration(e.Running) * runCost
+	d += time.Duration(e.Queued) * queueCost
+	d += time.Duration(e.FailRate * float64(failCost))
+	if e.Far {
+		d += farCost
+	}
+	if e.Running >= e.Slots || e.Used+w.Prompt+w.Output > e.Memory && e.Running > 0 {
+		d += placeWait
+	}
+	if w.Adapter.Name != "" {
+		d += loadTime(e, w)
+	}
+	return d
+}
+
+func loadTime(e *Engine, w Work) time.Duration {
+	switch {
+	case e.Resident && !e.Stale:
+		return 0
+	case e.Resident:
+		return staleWait
+	case e.Loading:
+		return coldLoad / 2
+	}
+	d := coldLoad - time.Duration(float64(hashSpread)*rank(w.Adapter.String(), e.Instance.ID))
+	if e.Places >= e.MaxPlaces {
+		if e.Idle == 0 {
+			return d + placeWait
+		}
+		d += evictTime
+	}
+	return d
+}
+
+// rank is the rendezvous rank of an engine for a name, from 0 to 1.
+func rank(name string, id plank.EndpointID) float64 {
+	return float64(xxhash.Sum64String(name+"\x00"+string(id))>>11) / (1 << 53)
+}
+
+func tokensTime(n plank.Tokens) time.Duration {
+	return time.Duration(float64(n) / prefillRate * float64(time.Millisecond))
+}
+
+// Best returns the index of the engine with the least expected time to the
+// first token, and that time; -1 if there is none. Engines to avoid are taken
+// only if there are no others, and those in skip never.
+func Best(engines []Engine, w Work, skip func(plank.EndpointID) bool) (int, time.Duration) {
+	best := -1
+	var least time.Duration
+	for i := range engines {
+		e := &engines[i]
+		if skip(e.Instance.ID) || best >= 0 && e.Avoid && !engines[best].Avoid {
+			continue
+		}
+		d := FirstToken(e, w)
+		if best < 0 || d < least || engines[best].Avoid && !e.Avoid {
+			best, least = i, d
+		}
+	}
+	return best, least
+}
--- a/internal/relay/avoid.go
+++ b/internal/relay/avoid.go
@@ -7,6 +7,12 @@
 	"knapweedplank.org/plank"
 )
 
+// The bounds of retries, so that retries cannot multiply an overload.
+const (
+	retryRatio = 0.2 // retries per request
+	retryBurst = 20.0
+)
+
 // avoidTime is how long an endpoint that refused or could not be reached gets no
 // request, if there is another. It covers the time until its owner's next
 // heartbeat tells how it stands.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/retry"
 	"knapweedplank.org/plank/internal/runner"
 )
 
@@ -37,7 +38,7 @@
 	hub     *peer.Hub
 	router  plank.Router
 	poison  *poison.Table
-	budget  *Budget
+	budget  *retry.Budget
 	avoid   *avoidance
 	clock   plank.Clock
 	log     *logrus.Entry
@@ -47,7 +48,7 @@
 // New returns a relay.
 func New(self plank.VMID, control *ctrl.Control, hub *peer.Hub, router plank.Router, poisons *poison.Table, clock plank.Clock, log *logrus.Entry) *Relay {
 	return &Relay{
-		self: self, control: control, hub: hub, router: router, poison: poisons, budget: NewBudget(), avoid: newAvoidance(), clock: clock, log: log,
+		self: self, control: control, hub: hub, router: router, poison: poisons, budget: retry.New(retryRatio, retryBurst), avoid: newAvoidance(), clock: clock, log: log,
 		scratch: sync.Pool{New: func() any { return new(scratch) }},
 	}
 }
--- /dev/null
+++ b/internal/watch/sinks.go
@@ -0,0 +1,220 @@
+package watch
+
+import (
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/view"
+)
+
+// returnGrace is how long registrations that lapsed while the store was away
+// may be missing after its return: endpoints write anew within about 2 s.
+const returnGrace = 2300 * time.Millisecond
+
+// A Manifests sink publishes the configuration.
+type Manifests struct {
+	Key  string
+	Dir  plank.Directory
+	View *view.Holder
+	Log  *logrus.Entry
+}
+
+var _ Sink = (*Manifests)(nil)
+
+// Reset implements Sink.
+func (s *Manifests) Reset(objects []plank.Object, _ bool) {
+	for _, o := range objects {
+		s.put(o)
+	}
+}
+
+// Apply implements Sink.
+func (s *Manifests) Apply(changes []plank.Change) {
+	for _, c := range changes {
+		if c.Object.Version > 0 {
+			s.put(c.Object)
+		}
+	}
+}
+
+func (s *Manifests) put(o plank.Object) {
+	if o.Key != s.Key {
+		return
+	}
+	m, err := s.Dir.Manifest(o.Value)
+	if err != nil {
+		s.Log.WithField("revision", o.Version).WithError(err).Error("watch: unreadable configuration, the last one stays in force")
+		return
+	}
+	if s.View.SetManifest(m) {
+		s.Log.WithFields(logrus.Fields{"version": m.Version, "revision": o.Version, "routes": len(m.Routes)}).Info("watch: configuration in force")
+	}
+}
+
+// A Releases sink publishes announced adapter versions.
+type Releases struct {
+	Dir  plank.Directory
+	View *view.Holder
+	Log  *logrus.Entry
+}
+
+var _ Sink = (*Releases)(nil)
+
+// Reset implements Sink.
+func (s *Releases) Reset(objects []plank.Object, _ bool) {
+	var all []plank.Residency
+	for _, o := range objects {
+		all = s.decode(all, o)
+	}
+	s.View.AddVersions(all)
+}
+
+// Apply implements Sink.
+func (s *Releases) Apply(changes []plank.Change) {
+	var all []plank.Residency
+	for _, c := range changes {
+		if c.Object.Version > 0 {
+			all = s.decode(all, c.Object)
+		}
+	}
+	s.View.AddVersions(all)
+}
+
+func (s *Releases) decode(all []plank.Residency, o plank.Object) []plank.Residency {
+	r, err := s.Dir.Release(o.Value)
+	if err != nil {
+		s.Log.WithField("key", o.Key).WithError(err).Warn("watch: ignored an adapter version")
+		return all
+	}
+	s.Log.WithFields(logrus.Fields{"adapter": r.Adapter.String(), "version": r.Version}).Info("watch: adapter version known")
+	return append(all, r)
+}
+
+// An Instances sink publishes the registered endpoints. A registration that is
+// missing right after the store was away stays until the grace has passed.
+type Instances struct {
+	prefix string
+	dir    plank.Directory
+	view   *view.Holder
+	clock  plank.Clock
+	log    *logrus.Entry
+
+	mu sync.Mutex
+	// entries holds the last readable registration of each endpoint.
+	entries map[plank.EndpointID]plank.Instance
+	// missing holds when registrations that vanished during the grace end.
+	missing map[plank.EndpointID]time.Time
+	// grace ends the time after a return of the store.
+	grace time.Time
+}
+
+var _ Sink = (*Instances)(nil)
+
+// NewInstances returns a sink of registrations below prefix.
+func NewInstances(prefix string, dir plank.Directory, v *view.Holder, clock plank.Clock, log *logrus.Entry) *Instances {
+	return &Instances{
+		prefix: prefix, dir: dir, view: v, clock: clock, log: log,
+		entries: make(map[plank.EndpointID]plank.Instance), missing: make(map[plank.EndpointID]time.Time),
+	}
+}
+
+// Reset implements Sink.
+func (s *Instances) Reset(objects []plank.Object, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lost {
+		s.grace = s.clock.Now().Add(returnGrace)
+	}
+	seen := make(map[plank.EndpointID]bool, len(objects))
+	for _, o := range objects {
+		seen[s.id(o)] = true
+		s.put(o)
+	}
+	for id := range s.entries {
+		if !seen[id] {
+			s.remove(id)
+		}
+	}
+	s.publish()
+}
+
+// Apply implements Sink.
+func (s *Instances) Apply(changes []plank.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		if c.Object.Version == 0 {
+			s.remove(s.id(c.Object))
+		} else {
+			s.put(c.Object)
+		}
+	}
+	s.publish()
+}
+
+// Expire drops the registrations that did not come back in time.
+func (s *Instances) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, dropped := s.clock.Now(), false
+	for id, until := range s.missing {
+		if !until.After(now) {
+			s.drop(id)
+			dropped = true
+		}
+	}
+	if dropped {
+		s.publish()
+	}
+}
+
+func (s *Instances) id(o plank.Object) plank.EndpointID {
+	return plank.EndpointID(strings.TrimPrefix(o.Key, s.prefix))
+}
+
+// put takes a registration. One that cannot be read names no endpoint, but
+// does not end the last readable one either. The lock is held.
+func (s *Instances) put(o plank.Object) {
+	id := s.id(o)
+	inst, err := s.dir.Instance(id, o.Value)
+	if err != nil {
+		s.log.WithField("endpoint", id).WithError(err).Warn("watch: ignored a registration")
+		return
+	}
+	delete(s.missing, id)
+	if old, ok := s.entries[id]; !ok || old.Leaving != inst.Leaving || !old.Born.Equal(inst.Born) || old.Addr != inst.Addr {
+		s.log.WithFields(logrus.Fields{
+			"endpoint": id, "service": inst.Service, "addr": inst.Addr, "domain": inst.Domain,
+			"leaving": inst.Leaving, "born": inst.Born.UnixMilli(), "revision": o.Version,
+		}).Info("watch: endpoint registered")
+	}
+	s.entries[id] = inst
+}
+
+// remove takes the end of a registration. The lock is held.
+func (s *Instances) remove(id plank.EndpointID) {
+	if _, ok := s.entries[id]; !ok {
+		return
+	}
+	if s.grace.After(s.clock.Now()) {
+		if _, ok := s.missing[id]; !ok {
+			s.missing[id] = s.grace
+		}
+		return
+	}
+	s.drop(id)
+}
+
+// drop forgets an endpoint. The lock is held.
+func (s *Instances) drop(id plank.EndpointID) {
+	delete(s.entries, id)
+	delete(s.missing, id)
+	s.log.WithField("endpoint", id).Info("watch: endpoint gone")
+}
+
+// publish makes the registrations visible. The lock is held.
+func (s *Instances) publish() { s.view.SetInstances(maps.Clone(s.entries)) }
