Quota held over a fleet whose VMs start together; cold loads priced in the choice

VMs that registered at the same moment each read an empty list and never met, so three of six did not count each other's use (log: no gossip between them, reach still 1). Ruled out: cuts (only the store was cut), late detection of silence, restarts. Change: messages carry the addresses of VMs met; engine and suspect changes are numbered under their lock, since one composed meanwhile was lost. Beside it: engines that held an adapter lately are preferred (a load from the weight store counts 500 ms), saved-up tokens are cut when VMs fall silent.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -102,6 +102,7 @@
 // refusal if there was one to ask.
 func (s *Server) reserve(ctx context.Context, j *job, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
 	w := j.work()
+	w.Target = j.target.Sub(s.deps.Clock.Now())
 	engines, states := s.engines(j, w)
 	i, expected := pick.Best(engines, w, func(id plank.EndpointID) bool { return skip[id] })
 	if i < 0 {
@@ -195,6 +196,7 @@
 		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
 			e.Known = alive
 			describe(&e, state.State, w.Adapter, v.Versions[w.Adapter])
+			e.Lately = s.deps.Mesh.HeldLately(inst.ID, w.Adapter.String())
 		} else {
 			state = mesh.Engine{}
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -150,6 +150,10 @@
 	}
 	j.cost = cost(j.call, j.workspace)
 	ok, wait := s.deps.Tally.Take(j.workspace.ID, j.cost)
+	level, reach := s.deps.Tally.Level(j.workspace.ID)
+	j.log.WithFields(logrus.Fields{
+		"workspace": j.workspace.ID, "cost": j.cost, "tokens_left": int(level), "reach": reach, "manifest": j.view.Manifest.Version, "ok": ok,
+	}).Info("front: admission")
 	if ok {
 		return nil
 	}
--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -11,7 +11,10 @@
 const (
 	// restartFill is the part of a burst that a VM begins with after a restart,
 	// when it does not know what the others admitted before.
-	restartFill = 0.25
+	restartFill = 0.02
+	// restartReach is the part of the fleet that a VM takes itself for after a
+	// restart, until it knows the others.
+	restartReach = 0.1
 	// maxDebt is how far the others' use can take a tally below zero, as a part
 	// of the burst.
 	maxDebt = 1.0
@@ -61,12 +64,12 @@
 // admitted anything yet. stamp returns rising numbers and is called at each
 // change of this VM's usage.
 func NewTally(clock plank.Clock, full bool, stamp func() uint64) *Tally {
-	fill := restartFill
+	fill, reach := restartFill, restartReach
 	if full {
-		fill = 1
+		fill, reach = 1, 1
 	}
 	return &Tally{
-		clock: clock, fill: fill, reach: 1, stamp: stamp,
+		clock: clock, fill: fill, reach: reach, stamp: stamp,
 		entries: make(map[plank.WorkspaceID]*tallyEntry), peers: make(map[plank.VMID]*peerTotals),
 	}
 }
@@ -90,15 +93,32 @@
 	t.fill = 1
 }
 
+// Level returns the tokens at hand for a workspace, and the part of the fleet
+// that is heard.
+func (t *Tally) Level(ws plank.WorkspaceID) (plank.Tokens, float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[ws]
+	if e == nil {
+		return 0, t.reach
+	}
+	t.refill(e, t.clock.Now())
+	return plank.Tokens(e.level), t.reach
+}
+
 // SetReach tells how many VMs of those known are heard, this one included.
 func (t *Tally) SetReach(heard, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	reach := max(minReach, float64(heard)/float64(max(1, known)))
 	for _, e := range t.entries {
 		t.refill(e, now)
+		// Those that are no longer heard go on with their part of what was
+		// saved up.
+		e.level = min(e.level, e.burst*reach)
 	}
-	t.reach = max(minReach, float64(heard)/float64(max(1, known)))
+	t.reach = reach
 }
 
 // refill brings an entry to now. The lock is held.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -28,6 +28,9 @@
 	// AliveTime is how long a VM counts as reachable after a message: four
 	// messages may be late or lost.
 	AliveTime = 1300 * time.Millisecond
+	// heardTime is how long a VM's counts are taken to be current: two messages
+	// at the steady pace.
+	heardTime = 650 * time.Millisecond
 	// redialAfter is the pause before a VM that does not answer is tried again.
 	redialAfter = 500 * time.Millisecond
 	// forgetTime is how long a VM that never answers is tried.
@@ -64,9 +67,12 @@
 
 	mu    sync.Mutex
 	peers map[plank.VMID]*Peer
+	// met lists the addresses of VMs that were heard, in the order of meeting.
+	met []string
 	// senders holds the addresses to which a loop sends, with its wake-up.
 	senders map[string]chan struct{}
 	engines map[plank.EndpointID]Engine
+	lately  map[plank.EndpointID]*history
 }
 
 // New returns a mesh whose loops end with ctx.
@@ -74,7 +80,7 @@
 	m := &Mesh{
 		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx,
 		peers: make(map[plank.VMID]*Peer), senders: make(map[string]chan struct{}),
-		engines: make(map[plank.EndpointID]Engine),
+		engines: make(map[plank.EndpointID]Engine), lately: make(map[plank.EndpointID]*history),
 	}
 	go func() {
 		for pause.For(ctx, redialAfter) {
@@ -137,7 +143,8 @@
 // heard of for so long that the connection is in doubt. It reports whether any
 // message went out.
 func (m *Mesh) stream(ctx context.Context, addr string, wake <-chan struct{}) bool {
-	g, last := m.compose(0)
+	at := position{}
+	g := m.compose(&at)
 	s, err := m.hub.Open(ctx, addr, &wire.Call{Body: &wire.Call_Gossip{Gossip: g}})
 	if err != nil {
 		return false
@@ -152,9 +159,7 @@
 			m.hub.Discard(addr)
 			return false
 		}
-		var g *wire.Gossip
-		g, last = m.compose(last)
-		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(g) != nil {
+		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(m.compose(&at)) != nil {
 			m.hub.Discard(addr)
 			return true
 		}
@@ -185,10 +190,21 @@
 	return max(minGap, time.Duration(len(m.senders))*gapPerPeer)
 }
 
-func (m *Mesh) compose(after uint64) (*wire.Gossip, uint64) {
-	g, last := m.local.Gossip(after)
+// A position is what a stream has carried.
+type position struct {
+	change uint64 // the last change of the local state
+	met    int    // addresses of Mesh.met
+}
+
+// compose returns the next message of a stream.
+func (m *Mesh) compose(at *position) *wire.Gossip {
+	g, last := m.local.Gossip(at.change)
 	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
-	return g, last
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g.Addresses = slices.Clone(m.met[at.met:])
+	at.change, at.met = last, len(m.met)
+	return g
 }
 
 // heardFrom tells whether the VM at addr was heard of lately.
@@ -231,11 +247,16 @@
 		m.log.WithFields(logrus.Fields{"vm": vm, "addr": g.Address}).Info("mesh: peer heard")
 	}
 	p.merge(g, now)
+	if !slices.Contains(m.met, g.Address) {
+		m.met = append(m.met, g.Address)
+	}
 	for _, e := range g.Engines {
 		m.takeEngine(p, e, now)
 	}
 	m.mu.Unlock()
-	m.Contact(g.Address)
+	for _, addr := range append(g.Addresses, g.Address) {
+		m.Contact(addr)
+	}
 	m.local.Merge(vm, plank.BootID(g.Boot), g)
 }
 
@@ -243,7 +264,7 @@
 func (m *Mesh) takeEngine(p *Peer, e *wire.EngineState, now time.Time) {
 	id := plank.EndpointID(e.Endpoint)
 	if !e.Gone {
-		m.engines[id] = Engine{Holder: p.VM, Address: p.Address, State: e, Heard: now}
+		m.keepEngine(id, Engine{Holder: p.VM, Address: p.Address, State: e, Heard: now})
 	} else if m.engines[id].Holder == p.VM {
 		delete(m.engines, id)
 	}
@@ -254,12 +275,34 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if state != nil {
-		m.engines[id] = Engine{Holder: m.self.VM, State: state, Heard: m.clock.Now()}
+		m.keepEngine(id, Engine{Holder: m.self.VM, State: state, Heard: m.clock.Now()})
 	} else if m.engines[id].Holder == m.self.VM {
 		delete(m.engines, id)
 	}
 }
 
+// keepEngine keeps the state of an engine. The lock is held.
+func (m *Mesh) keepEngine(id plank.EndpointID, e Engine) {
+	m.engines[id] = e
+	h := m.lately[id]
+	if h == nil {
+		h = &history{}
+		m.lately[id] = h
+	}
+	for _, p := range e.State.Places {
+		h.add(p.Adapter)
+	}
+}
+
+// HeldLately tells whether an engine held an adapter so lately that it loads
+// it fast.
+func (m *Mesh) HeldLately(id plank.EndpointID, adapter string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.lately[id]
+	return h != nil && h.has(adapter)
+}
+
 // Engine returns what is known of an engine, and whether its holder is alive.
 func (m *Mesh) Engine(id plank.EndpointID) (e Engine, alive bool) {
 	m.mu.Lock()
@@ -286,11 +329,42 @@
 	return out
 }
 
+// Reach returns how many VMs are heard at the moment, and how many there are as
+// far as is known; this one counts in both.
+func (m *Mesh) Reach() (heard, known int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	heard, known = 1, 1
+	met := make(map[string]bool, len(m.peers))
+	for _, p := range m.peers {
+		met[p.Address] = true
+		current := now.Sub(p.Heard) < heardTime
+		if current {
+			heard++
+		}
+		if current || !p.Leaving {
+			known++
+		}
+	}
+	for addr := range m.senders {
+		if !met[addr] {
+			known++
+		}
+	}
+	return heard, known
+}
+
 // sweep forgets VMs that were silent for long, and logs those that fell silent.
 func (m *Mesh) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
+	for id := range m.lately {
+		if _, ok := m.engines[id]; !ok {
+			delete(m.lately, id)
+		}
+	}
 	for vm, p := range m.peers {
 		silent := now.Sub(p.Heard)
 		if silent > AliveTime && silent <= AliveTime+redialAfter {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -86,7 +86,7 @@
 	}
 	n.state.setDuties(duties)
 	l.sync(v.Instances)
-	n.observeReach(now)
+	n.observeReach()
 }
 
 // takeFencings gives up the leases that engines no longer accept.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,17 +197,8 @@
 }
 
 // observeReach tells limits and budgets how much of the fleet is heard.
-func (n *Node) observeReach(now time.Time) {
-	heard, known := 1, 1
-	for _, p := range n.mesh.Peers() {
-		if p.Leaving && !p.IsAlive(now) {
-			continue
-		}
-		known++
-		if p.IsAlive(now) {
-			heard++
-		}
-	}
+func (n *Node) observeReach() {
+	heard, known := n.mesh.Reach()
 	n.tally.SetReach(heard, known)
 	n.budgets.SetBurst(n.settings.Bounds.RetrySlack * budgetPart / float64(known))
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -43,7 +43,9 @@
 
 var _ mesh.Local = (*state)(nil)
 
-// stamp numbers a change and wakes the mesh.
+// stamp numbers a change and wakes the mesh. It is called under the lock that
+// guards what changed: a message composed meanwhile must not count the change
+// as covered.
 func (s *state) stamp() uint64 {
 	n := s.changes.Add(1)
 	s.wake()
@@ -98,18 +100,16 @@
 
 // setEngine tells the others the state of an engine; nil ends it.
 func (s *state) setEngine(id plank.EndpointID, e *wire.EngineState) {
-	n := s.stamp()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engines[id] = engineChange{state: e, change: n}
+	s.engines[id] = engineChange{state: e, change: s.stamp()}
 }
 
 // setSuspect tells the others of a request that crashed an endpoint.
 func (s *state) setSuspect(e poison.Entry) {
-	n := s.stamp()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects[e.Print] = suspectChange{entry: e, change: n}
+	s.suspects[e.Print] = suspectChange{entry: e, change: s.stamp()}
 }
 
 // setDuties tells the others which domains this VM has the duty of.
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -35,6 +35,13 @@
 	// hashSpread is how much of a load's time the rendezvous hash decides, so
 	// that all VMs prefer the same engine for an adapter.
 	hashSpread = 120 * time.Millisecond
+	// coldPrice is what a load from the weight store counts as beside its time:
+	// it takes from what the store allows to all engines.
+	coldPrice = 500 * time.Millisecond
+	// easyPart is the part of the time to the target up to which a wait does no
+	// harm; lateFactor weighs what lies beyond.
+	easyPart   = 0.6
+	lateFactor = 3
 	// queueCost is what each call that waits for room adds.
 	queueCost = 150 * time.Millisecond
 )
@@ -46,6 +53,9 @@
 	Known bool
 	// Resident, Stale and Loading tell how the engine has the adapter.
 	Resident, Stale, Loading bool
+	// Lately is set when the engine held the adapter so lately that it loads
+	// it fast.
+	Lately bool
 	// Places and Idle count the places for adapters that are taken, and those
 	// of them that are idle; MaxPlaces is how many there are.
 	Places, Idle, MaxPlaces int
@@ -65,6 +75,8 @@
 	Prefix string
 	Prompt plank.Tokens
 	Output plank.Tokens
+	// Target is the time left until the first token is late.
+	Target time.Duration
 }
 
 // FirstToken returns the expected time to the first token on an engine.
@@ -94,7 +106,10 @@
 	case e.Loading:
 		return coldLoad / 2
 	}
-	d := coldLoad - time.Duration(float64(hashSpread)*rank(w.Adapter.String(), e.Instance.ID))
+	d := coldLoad
+	if e.Lately {
+		d = warmLoad
+	}
 	if e.Places >= e.MaxPlaces {
 		if e.Idle == 0 {
 			return d + placeWait
@@ -104,6 +119,21 @@
 	return d
 }
 
+// Cost returns the expected time to the first token with what makes an engine
+// less fit beside it.
+func Cost(e *Engine, w Work) (cost, first time.Duration) {
+	first = FirstToken(e, w)
+	cost = first
+	if late := first - time.Duration(easyPart*float64(w.Target)); late > 0 {
+		cost += lateFactor * late
+	}
+	if w.Adapter.Name != "" && !e.Resident && !e.Loading && !e.Lately {
+		cost += coldPrice
+		cost -= time.Duration(float64(hashSpread) * rank(w.Adapter.String(), e.Instance.ID))
+	}
+	return cost, first
+}
+
 // rank is the rendezvous rank of an engine for a name, from 0 to 1.
 func rank(name string, id plank.EndpointID) float64 {
 	return float64(xxhash.Sum64String(name+"\x00"+string(id))>>11) / (1 << 53)
@@ -113,21 +143,21 @@
 	return time.Duration(float64(n) / prefillRate * float64(time.Millisecond))
 }
 
-// Best returns the index of the engine with the least expected time to the
-// first token, and that time; -1 if there is none. Engines to avoid are taken
-// only if there are no others, and those in skip never.
+// Best returns the index of the engine with the least cost, and the expected
+// time to the first token there; -1 if there is none. Engines to avoid are
+// taken only if there are no others, and those in skip never.
 func Best(engines []Engine, w Work, skip func(plank.EndpointID) bool) (int, time.Duration) {
 	best := -1
-	var least time.Duration
+	var least, expected time.Duration
 	for i := range engines {
 		e := &engines[i]
 		if skip(e.Instance.ID) || best >= 0 && e.Avoid && !engines[best].Avoid {
 			continue
 		}
-		d := FirstToken(e, w)
-		if best < 0 || d < least || engines[best].Avoid && !e.Avoid {
-			best, least = i, d
+		cost, first := Cost(e, w)
+		if best < 0 || cost < least || engines[best].Avoid && !e.Avoid {
+			best, least, expected = i, cost, first
 		}
 	}
-	return best, least
+	return best, expected
 }
