Planned stop: no request is lost on a connection that is closed as idle

Ruled out: the endpoint (it was cut by us, 4 ms after the request arrived). Change: package idle closes a connection only while no byte of a request was read, and drops what is read later; calls that would outlast the process are refused as not run from 2.5 s after the signal (a stream begun later was cut at the end).

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,12 @@
 	"knapweedplank.org/plank/internal/view"
 )
 
+// elsewhereRetry is when a caller may come back that is sent to another VM.
+const elsewhereRetry = 20 * time.Millisecond
+
+// usualFactor is how many times its target a call may take as a rule.
+const usualFactor = 4
+
 // notReadyRetry is when a caller may come back to a VM that has no
 // configuration yet.
 const notReadyRetry = 500 * time.Millisecond
@@ -33,6 +39,9 @@
 	Poison  *poison.Table
 	Flights *Flights
 	Sender  plank.Sender
+	// Ends returns when the process ends, once it takes no more long calls;
+	// else it returns the zero time.
+	Ends func() time.Time
 	// Crashed tells whether an endpoint that broke a call off is down.
 	Crashed func(inst plank.Instance) bool
 	Clock   plank.Clock
@@ -136,6 +145,11 @@
 		j.deadline = call.Deadline
 	}
 	j.target = call.Arrived.Add(route.Target)
+	if ends := s.deps.Ends(); !ends.IsZero() && (j.pool != nil || call.Arrived.Add(usualFactor*route.Target).After(ends)) {
+		r := plank.Refuse(plank.CodeNotReady, "the process ends before the call could")
+		r.RetryAfter = elsewhereRetry
+		return nil, r
+	}
 	j.print = fingerprint(call, j.workspaceID())
 	if e, ok := s.deps.Poison.Lookup(j.print); ok && e.Quarantined {
 		return nil, plank.Refuse(plank.CodeQuarantined, "the request crashed %d endpoints", e.Crashes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"knapweedplank.org/plank/internal/front"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/health"
+	"knapweedplank.org/plank/internal/idle"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
@@ -80,8 +81,10 @@
 
 	cancel   context.CancelFunc
 	callers  *http.Server
-	ready    *http.Server
-	stopping atomic.Bool
+	entrance *idle.Listener            // of callers
+	stopping atomic.Bool               // no longer ready
+	closing  atomic.Bool               // answers end their connections
+	ends     atomic.Pointer[time.Time] // of the process; nil while it takes long calls
 	running  sync.WaitGroup
 }
 
@@ -220,17 +223,17 @@
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Rooms: n.desk, Tally: n.tally, Budgets: n.budgets,
 		Health: health.New(n.clock), Poison: n.poison, Flights: n.state.flights, Sender: platform.NewSender(n.pool, n.clock),
-		Crashed: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
+		Ends: n.endsAt, Crashed: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
+	n.entrance = idle.Wrap(callers)
 	n.callers = &http.Server{
-		Handler:           platform.NewIngress(server, n.clock, n.maxBody, n.log),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive,
+		Handler:           platform.NewIngress(server, n.clock, platform.IngressOptions{MaxBody: n.maxBody, Closing: n.closing.Load}, n.log),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: keepAlive, ConnState: n.entrance.ConnState,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, n.serveReady)
-	n.ready = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	n.serve(n.callers, callers)
-	n.serve(n.ready, ready)
+	n.serve(n.callers, n.entrance)
+	n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, ready)
 	go func() { n.hub.Serve(peers, n) }()
 	return nil
 }
@@ -238,12 +241,20 @@
 // serve runs an HTTP server.
 func (n *Node) serve(s *http.Server, ln net.Listener) {
 	go func() {
-		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !n.closing.Load() {
 			n.log.WithField("addr", ln.Addr().String()).WithError(err).Error("node: a server ended")
 		}
 	}()
 }
 
+// endsAt returns when the process ends, once it takes no more long calls.
+func (n *Node) endsAt() time.Time {
+	if t := n.ends.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 func (n *Node) maxBody() int64 {
 	if m := n.view.Load().Manifest; m != nil {
 		return m.Limits.MaxBody
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -12,6 +12,8 @@
 	// leaveTime is how long the platform goes on sending new connections after
 	// the VM says that it is not ready: it asks once a second, twice.
 	leaveTime = 2500 * time.Millisecond
+	// closePace is the pause between looks for connections that became idle.
+	closePace = 50 * time.Millisecond
 	// exitMargin is how long before the platform kills the process it ends.
 	exitMargin = 500 * time.Millisecond
 	// minGrace holds where the platform names no time.
@@ -33,9 +35,16 @@
 	n.duties.stop(released)
 	cancelRelease()
 	pause.For(ctx, leaveTime)
-	n.callers.SetKeepAlivesEnabled(false)
-	if err := n.callers.Shutdown(ctx); err != nil {
-		n.log.WithError(err).Warn("node: calls were still in progress at the end of the grace time")
+	n.ends.Store(&deadline)
+	n.closing.Store(true)
+	if err := n.entrance.Close(); err != nil {
+		n.log.WithError(err).Warn("node: listener not closed")
+	}
+	for n.entrance.CloseIdle() > 0 {
+		if !pause.For(ctx, closePace) {
+			n.log.WithField("connections", n.entrance.CloseIdle()).Warn("node: calls were still in progress at the end of the grace time")
+			break
+		}
 	}
 	n.cancel()
 	n.hub.Close()
