Recovery: leases of VMs that started anew are free at once; calls wait for a holder

Ruled out: the configuration (in force 15 ms after the start), the store, the limits. Change: a VM looks at its own domain's lease at once and takes its own earlier one back; a lease whose holder is alive in another run is free; a call waits up to 0.8 s while no engine has a holder; a holder acknowledges within 250 ms, so one that is cut off is noticed; messages each 200 ms, silence after 0.9 s.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -55,6 +55,8 @@
 	// Candidates are the VMs that may take the lease, this one included if it
 	// may.
 	Candidates []plank.VMID
+	// Boots holds the runs of the VMs that are alive, without this one.
+	Boots map[plank.VMID]plank.BootID
 }
 
 // A Lease is this VM's part of the lease on one domain. It is used by one
@@ -129,11 +131,15 @@
 		l.quiet = now
 	}
 	rank := rankOf(l.self, l.domain, f.Candidates)
-	if rank < 0 || now.Sub(l.quiet) < silence+time.Duration(rank)*rankDelay || now.Before(l.askAt) {
+	if rank < 0 || now.Before(l.askAt) {
+		return
+	}
+	first := l.askAt.IsZero()
+	if !first && now.Sub(l.quiet) < silence+time.Duration(rank)*rankDelay {
 		return
 	}
 	l.askAt = now.Add(askEvery)
-	l.tryTake(ctx, now)
+	l.tryTake(ctx, now, f.Boots, first)
 }
 
 // observe notes the version of another holder's lease.
@@ -163,8 +169,9 @@
 
 func (l *Lease) key() string { return PrefixDuties + string(l.domain) }
 
-// tryTake takes the lease if nobody holds it.
-func (l *Lease) tryTake(ctx context.Context, now time.Time) {
+// tryTake takes the lease if nobody holds it. A VM that has just started takes
+// it only back from its own earlier run.
+func (l *Lease) tryTake(ctx context.Context, now time.Time, boots map[plank.VMID]plank.BootID, first bool) {
 	o, err := l.store.Get(ctx, l.key())
 	if err != nil {
 		l.log.WithError(err).Warn("duty: cannot read the lease")
@@ -182,7 +189,7 @@
 		l.won(o.Version, rec, now, "read back")
 		return
 	}
-	if !l.isFree(o.Version, rec, now) {
+	if first && rec.Holder != l.self || !l.isFree(o.Version, rec, boots, now) {
 		return
 	}
 	next := Record{Holder: l.self, Boot: l.boot, Count: rec.Count + 1}
@@ -194,9 +201,13 @@
 	l.won(version, next, now, "taken from "+string(rec.Holder))
 }
 
-// isFree tells whether this VM may take the lease.
-func (l *Lease) isFree(version plank.ObjectVersion, rec Record, now time.Time) bool {
+// isFree tells whether this VM may take the lease. A holder that has started
+// anew since it took the lease no longer orders anything under it.
+func (l *Lease) isFree(version plank.ObjectVersion, rec Record, boots map[plank.VMID]plank.BootID, now time.Time) bool {
+	boot, alive := boots[rec.Holder]
 	switch {
+	case alive && boot != rec.Boot:
+		return true
 	case version == 0, rec.Holder == l.self:
 		return true
 	case rec.Released && (rec.Successor == "" || rec.Successor == l.self):
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -10,6 +10,7 @@
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/sse"
 	"knapweedplank.org/plank/internal/wire"
@@ -20,6 +21,10 @@
 	maxRooms = 3
 	// maxRoomWait is how long a call waits for room on one engine.
 	maxRoomWait = 1500 * time.Millisecond
+	// maxHolderWait is how long a call waits for any engine's holder; a lease
+	// is taken within it when all VMs have started anew.
+	maxHolderWait = 800 * time.Millisecond
+	holderPace    = 20 * time.Millisecond
 	// minRun is the least time in which a call can still be served.
 	minRun = 100 * time.Millisecond
 	// fullRetry is when a caller may come back when no engine has room.
@@ -40,6 +45,7 @@
 // serveModel serves a call of a model engine.
 func (s *Server) serveModel(ctx context.Context, j *job) end {
 	s.deps.Budgets.Of(j.service).Request()
+	s.awaitHolder(ctx, j)
 	skip := make(map[plank.EndpointID]bool)
 	p := &progress{lastID: j.call.LastEvent}
 	retry := time.Duration(0)
@@ -71,6 +77,27 @@
 	return s.endModel(ctx, j, p, retry)
 }
 
+// awaitHolder waits while no engine of the service has a holder that is heard,
+// as in the first moments after a restart of all VMs.
+func (s *Server) awaitHolder(ctx context.Context, j *job) {
+	until := s.deps.Clock.Now().Add(min(maxHolderWait, j.route.Target))
+	for !s.hasHolder(j) && s.deps.Clock.Now().Before(until) {
+		if !pause.For(ctx, holderPace) {
+			return
+		}
+	}
+}
+
+// hasHolder tells whether the state of any engine of the service is known.
+func (s *Server) hasHolder(j *job) bool {
+	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
+		if _, alive := s.deps.Mesh.Engine(inst.ID); alive {
+			return true
+		}
+	}
+	return false
+}
+
 // endModel ends a call that could not be served.
 func (s *Server) endModel(ctx context.Context, j *job, p *progress, retry time.Duration) end {
 	switch {
@@ -274,6 +301,7 @@
 		}
 		if !p.begun {
 			p.begun = true
+			j.first = s.deps.Clock.Now()
 			room.Began()
 			if err := j.w.Begin(reply.Head); err != nil {
 				return abandoned, err
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -74,6 +75,10 @@
 // Version implements Room.
 func (l localRoom) Version() plank.VersionNumber { return l.Outcome.Version }
 
+// ackTime is how long a holder may take to tell that a caller waits. One that
+// is cut off is noticed by it.
+const ackTime = 250 * time.Millisecond
+
 // replyMargin is how much longer than the holder waits its reply may take.
 const replyMargin = 150 * time.Millisecond
 
@@ -89,11 +94,7 @@
 		cancel()
 		return nil, err
 	}
-	var reply wire.ReserveReply
-	err = s.SetDeadline(time.Now().Add(wait + replyMargin))
-	if err == nil {
-		err = s.Receive(&reply)
-	}
+	reply, err := receiveReply(s, wait)
 	stop()
 	if err == nil && reply.Granted {
 		return &remoteRoom{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: d.Log}, nil
@@ -109,6 +110,23 @@
 	return nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
 }
 
+// receiveReply waits for the reply that settles a reservation.
+func receiveReply(s *peer.Stream, wait time.Duration) (*wire.ReserveReply, error) {
+	until := time.Now().Add(wait + replyMargin)
+	reply := new(wire.ReserveReply)
+	if err := s.SetDeadline(time.Now().Add(ackTime)); err != nil {
+		return nil, err
+	}
+	if err := s.Receive(reply); err != nil || !reply.Queued {
+		return reply, err
+	}
+	if err := s.SetDeadline(until); err != nil {
+		return nil, err
+	}
+	reply.Reset()
+	return reply, s.Receive(reply)
+}
+
 // A remoteRoom is a reservation at a peer; it lasts as long as its stream.
 type remoteRoom struct {
 	stream  *peer.Stream
@@ -155,6 +173,9 @@
 			notes <- n
 		}
 	}()
+	replies := &replier{desk: d, stream: s}
+	queued := time.AfterFunc(ackTime/5, replies.queued)
+	defer queued.Stop()
 	t, err := d.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), grant.Request{
 		ID: plank.RequestID(q.Request), Adapter: plank.ParseAdapterRef(q.Adapter), Version: plank.VersionNumber(q.Version),
 		Prompt: plank.Tokens(q.Prompt), Output: plank.Tokens(q.Output), Priority: int(q.Priority),
@@ -162,12 +183,12 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			d.reply(s, &wire.ReserveReply{Reason: err.Error()})
+			replies.settle(&wire.ReserveReply{Reason: err.Error()})
 		}
 		return
 	}
 	defer t.Release()
-	d.reply(s, &wire.ReserveReply{Granted: t.Granted, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
+	replies.settle(&wire.ReserveReply{Granted: t.Granted, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
 	if !t.Granted {
 		return
 	}
@@ -181,9 +202,36 @@
 	}
 }
 
-// reply answers a peer. One that is gone by then has lost its stream as well.
-func (d *Desk) reply(s *peer.Stream, m *wire.ReserveReply) {
-	if err := s.Send(m); err != nil {
-		d.Log.WithError(err).Info("front: a peer that asked for room is gone")
+// A replier sends the replies to one reservation in order.
+type replier struct {
+	desk *Desk
+
+	mu      sync.Mutex
+	stream  *peer.Stream
+	settled bool
+}
+
+// queued tells that the caller waits, unless its reservation was settled.
+func (r *replier) queued() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.settled {
+		r.send(&wire.ReserveReply{Queued: true})
+	}
+}
+
+// settle sends the last reply.
+func (r *replier) settle(m *wire.ReserveReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled = true
+	r.send(m)
+}
+
+// send sends a reply. A peer that is gone by then has lost its stream as well.
+// The lock is held.
+func (r *replier) send(m *wire.ReserveReply) {
+	if err := r.stream.Send(m); err != nil {
+		r.desk.Log.WithError(err).Info("front: a peer that asked for room is gone")
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -73,6 +73,8 @@
 	target    time.Time // until when the answer, or its first event, is in time
 	cost      plank.Tokens
 	print     plank.Fingerprint
+	// first is when the first event of a stream arrived.
+	first time.Time
 	// sends counts the endpoints to which the call was sent.
 	sends int
 	// ran is set when an endpoint may have run the call.
@@ -104,7 +106,11 @@
 		e = s.servePlain(ctx, j)
 	}
 	s.settle(j, e)
-	s.finish(call, log.WithFields(logrus.Fields{"route": j.route.Name, "sends": j.sends}), e)
+	log = log.WithFields(logrus.Fields{"route": j.route.Name, "sends": j.sends})
+	if !j.first.IsZero() {
+		log = log.WithField("first_ms", j.first.Sub(call.Arrived).Milliseconds())
+	}
+	s.finish(call, log, e)
 	if e.outcome == outcomeBroken {
 		w.Abort()
 	}
--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -11,7 +11,7 @@
 const (
 	// restartFill is the part of a burst that a VM begins with after a restart,
 	// when it does not know what the others admitted before.
-	restartFill = 0.02
+	restartFill = 0.5
 	// restartReach is the part of the fleet that a VM takes itself for after a
 	// restart, until it knows the others.
 	restartReach = 0.1
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,19 +20,19 @@
 // The times of messages between VMs.
 const (
 	// beatEvery is the pause between messages while nothing changes.
-	beatEvery = 300 * time.Millisecond
+	beatEvery = 200 * time.Millisecond
 	// minGap and gapPerPeer bound the pace of messages when things change: each
 	// VM sends to all others, so the pace falls as the fleet grows.
 	minGap     = 20 * time.Millisecond
 	gapPerPeer = 3 * time.Millisecond
 	// AliveTime is how long a VM counts as reachable after a message: four
 	// messages may be late or lost.
-	AliveTime = 1300 * time.Millisecond
+	AliveTime = 900 * time.Millisecond
 	// heardTime is how long a VM's counts are taken to be current: two messages
 	// at the steady pace.
-	heardTime = 650 * time.Millisecond
+	heardTime = 500 * time.Millisecond
 	// redialAfter is the pause before a VM that does not answer is tried again.
-	redialAfter = 500 * time.Millisecond
+	redialAfter = 300 * time.Millisecond
 	// forgetTime is how long a VM that never answers is tried.
 	forgetTime = 30 * time.Second
 	// sendTimeout bounds one message.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -118,7 +118,7 @@
 // facts gathers what is known of a domain.
 func (l *dutyLoop) facts(d plank.DomainID, now time.Time) duty.Facts {
 	n := l.n
-	var f duty.Facts
+	f := duty.Facts{Boots: make(map[plank.VMID]plank.BootID)}
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
 	if n.settings.Domain == d {
 		inDomain = append(inDomain, n.settings.VM)
@@ -129,6 +129,7 @@
 		if !p.IsAlive(now) {
 			continue
 		}
+		f.Boots[p.VM] = p.Boot
 		if claim, ok := p.Duties[d]; ok {
 			f.Claimed = true
 			f.Version = max(f.Version, claim.Version)
