Orders without an answer are repeated at once; long prompts and long answers apart

Change: an unanswered order is given again with the same count, which makes the earlier one void; the choice weighs what a prompt takes from running answers.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -238,6 +238,7 @@
 func describe(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
 	e.Running, e.Queued = int(s.Running), int(s.Queued)
 	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
+	e.Reading = s.Reading
 	e.Places = len(s.Places)
 	name := ref.String()
 	for _, p := range s.Places {
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -10,6 +10,7 @@
 package grant
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,8 +28,12 @@
 	coldPoll = 253 * time.Millisecond
 	// pollEvery is the pause between further checks.
 	pollEvery = 20 * time.Millisecond
-	// reportLag is how old the state may be that an engine reports.
-	reportLag = 350 * time.Millisecond
+	// reportPace is the pause before a state that was too old is read again;
+	// reports lag by some hundred milliseconds.
+	reportPace = 70 * time.Millisecond
+	// maxMisses is how many orders in a row may go unanswered before the
+	// engine's state is read.
+	maxMisses = 4
 	// statusEvery is the pause between readings of an engine's state.
 	statusEvery = 2 * time.Second
 	// basePoll is the pause between readings while a base model loads.
@@ -40,6 +45,11 @@
 	versionGrace = 2 * time.Second
 	// maxCached is how many adapters an engine keeps at hand.
 	maxCached = 42
+	// readHalfLife is the time in which the count of prompt tokens halves.
+	readHalfLife = time.Second
+	// maxBacklog is how many prompt tokens may wait in an engine, about a second
+	// of its work; beyond that calls wait here, in the order of their priority.
+	maxBacklog = 38_000
 	// useHalfLife is the time in which the count of uses of an adapter halves.
 	useHalfLife = 10 * time.Second
 )
@@ -126,16 +136,22 @@
 	// known is set once the state was read since the duty began or an order was
 	// left unanswered.
 	known      bool
-	readAfter  time.Time // the state must be asked for after this to be new enough
+	counted    bool      // seq is the engine's own count
+	readAfter  time.Time // until when the state is not asked for
 	nextStatus time.Time // of a reading without a cause
-	ordersAt   time.Time // of the last order that was accepted
-	busy       bool      // an action is in progress
-	baseLoad   bool      // a base model is on its way
+	// unanswered is the order that was not answered; it is given again before
+	// any other.
+	unanswered *plank.Order
+	misses     int  // answers missing in a row
+	busy       bool // an action is in progress
+	baseLoad   bool // a base model is on its way
 
 	queue   []*ticket
 	running map[*ticket]bool
 	used    plank.Tokens
-	backlog plank.Tokens
+	backlog plank.Tokens // prompts of granted tickets that have not begun
+	reading float64      // aged count of prompt tokens granted
+	readAt  time.Time    // of reading
 }
 
 // NewEngine returns an engine whose state is not known yet.
@@ -169,8 +185,7 @@
 	if p := e.places[t.Adapter]; p != nil {
 		p.state = doubtful
 	}
-	e.known = false
-	e.readAfter = maxTime(now, e.ordersAt.Add(reportLag))
+	e.doubt(now)
 }
 
 // release ends a ticket, granted or not.
@@ -216,6 +231,9 @@
 	if len(e.running) == 0 {
 		return true
 	}
+	if e.backlog > 0 && e.backlog+t.Prompt > maxBacklog {
+		return false
+	}
 	return len(e.running) < e.limits.Slots && e.used+t.size() <= e.limits.Memory
 }
 
@@ -247,6 +265,7 @@
 	e.running[t] = true
 	e.used += t.size()
 	e.backlog += t.Prompt
+	e.reading, e.readAt = e.readingNow(now)+float64(t.Prompt), now
 	out := Outcome{Granted: true}
 	if p := e.places[t.Adapter]; p != nil && t.Adapter.Name != "" {
 		p.users++
@@ -257,6 +276,11 @@
 	t.settle(out)
 }
 
+// readingNow returns the aged count of prompt tokens granted.
+func (e *Engine) readingNow(now time.Time) float64 {
+	return e.reading * exp2(-now.Sub(e.readAt).Seconds()/readHalfLife.Seconds())
+}
+
 // agedUses returns the count of uses as of now.
 func (p *place) agedUses(now time.Time) float64 {
 	half := now.Sub(p.used).Seconds() / useHalfLife.Seconds()
@@ -265,7 +289,10 @@
 
 // due returns when the engine needs attention next.
 func (e *Engine) due(now time.Time) time.Time {
-	due := maxTime(e.nextStatus, e.ordersAt.Add(reportLag))
+	due := e.nextStatus
+	if e.unanswered != nil {
+		due = now
+	}
 	if !e.known {
 		due = e.readAfter
 	}
@@ -285,18 +312,15 @@
 	return due
 }
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // state returns what other VMs are told.
-func (e *Engine) state() *wire.EngineState {
+func (e *Engine) state(now time.Time) *wire.EngineState {
+	waiting := e.backlog
+	for _, t := range e.queue {
+		waiting += t.Prompt
+	}
 	s := &wire.EngineState{
 		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(),
-		Backlog: float64(e.backlog), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
+		Backlog: float64(waiting), Reading: e.readingNow(now) * math.Ln2 / readHalfLife.Seconds(), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
 		s.Places = append(s.Places, &wire.Place{
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -12,7 +12,9 @@
 
 // The limits of a keeper's calls to engines.
 const (
-	orderTimeout  = 600 * time.Millisecond
+	// orderTimeout is many times an engine's usual answer of a few milliseconds.
+	// An order without an answer is given again.
+	orderTimeout  = 90 * time.Millisecond
 	statusTimeout = 600 * time.Millisecond
 	// maxIdleWait bounds the keeper's sleep.
 	maxIdleWait = 250 * time.Millisecond
@@ -109,7 +111,7 @@
 	}
 	for id := range k.dirty {
 		if e := k.engines[id]; e != nil {
-			k.deps.Publish(id, e.state())
+			k.deps.Publish(id, e.state(now))
 		} else {
 			k.deps.Publish(id, nil)
 		}
@@ -144,11 +146,10 @@
 	inst := e.inst
 	go func() {
 		if a.Status {
-			asked := k.deps.Clock.Now()
 			ctx, cancel := context.WithTimeout(k.ctx, statusTimeout)
 			defer cancel()
 			s, err := k.deps.Operator.Status(ctx, inst)
-			k.do(func() { k.read(e, s, err, asked) })
+			k.do(func() { k.read(e, s, err) })
 			return
 		}
 		ctx, cancel := context.WithTimeout(k.ctx, orderTimeout)
@@ -158,12 +159,12 @@
 	}()
 }
 
-func (k *Keeper) read(e *Engine, s plank.EngineStatus, err error, asked time.Time) {
+func (k *Keeper) read(e *Engine, s plank.EngineStatus, err error) {
 	if err == nil && !s.Born.Equal(e.inst.Born) && s.Born.UnixMilli() > 0 {
 		err = errors.New("another start of the engine answers")
 	}
 	wasKnown := e.known
-	e.read(s, err, asked, k.deps.Clock.Now())
+	e.read(s, err, k.deps.Clock.Now())
 	k.dirty[e.inst.ID] = true
 	switch {
 	case err != nil:
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -16,14 +16,14 @@
 	if e.busy {
 		return Action{}, false
 	}
-	if !e.known {
+	if !e.known || !now.Before(e.nextStatus) {
 		if now.Before(e.readAfter) {
 			return Action{}, false
 		}
 		return e.begin(Action{Status: true})
 	}
-	if !now.Before(e.nextStatus) && now.Sub(e.ordersAt) >= reportLag {
-		return e.begin(Action{Status: true})
+	if e.unanswered != nil {
+		return e.begin(Action{Order: e.unanswered})
 	}
 	if o := e.baseOrder(); o != nil {
 		return e.begin(Action{Order: o})
@@ -158,16 +158,18 @@
 // ordered takes the result of an order. fenced tells that the duty is lost.
 func (e *Engine) ordered(o plank.Order, result plank.OrderResult, err error, now time.Time) (fenced bool) {
 	e.busy = false
-	if err != nil || result == plank.OrderConflict || result == plank.OrderMoved || result == plank.OrderRejected {
-		e.doubt(o, err != nil, now)
+	e.unanswered = nil
+	if err != nil {
+		e.repeat(o, now)
+		return false
+	}
+	if result == plank.OrderConflict || result == plank.OrderMoved || result == plank.OrderRejected {
+		e.doubt(now)
 		return false
 	}
 	if result == plank.OrderFenced {
 		return true
 	}
-	if result == plank.OrderPending || o.Unload {
-		e.ordersAt = now
-	}
 	if o.Target.Adapter.Name == "" {
 		e.baseLoad = result == plank.OrderPending
 		if e.baseLoad {
@@ -188,11 +190,12 @@
 
 func (e *Engine) unloaded(o plank.Order, result plank.OrderResult, now time.Time) {
 	e.seq++
+	e.misses = 0
 	delete(e.places, o.Target.Adapter)
 	if result == plank.OrderPending {
 		// Calls of a former holder still run on it; the state tells when it is
 		// gone.
-		e.doubt(o, false, now)
+		e.doubt(now)
 	}
 }
 
@@ -203,6 +206,7 @@
 		p = &place{ref: o.Target.Adapter, used: now}
 		e.places[p.ref] = p
 	}
+	e.misses = 0
 	p.version = o.Target.Version
 	switch {
 	case result == plank.OrderDone:
@@ -238,18 +242,19 @@
 	}
 }
 
-// doubt makes the engine's state unknown until it was read anew. After an order
-// without an answer the adapter keeps its place: the order may be carried out.
-func (e *Engine) doubt(o plank.Order, unanswered bool, now time.Time) {
-	e.known = false
-	e.readAfter = maxTime(now, e.ordersAt.Add(reportLag))
-	if !unanswered {
-		return
+// repeat prepares to give an order again that was not answered. It carries the
+// same count of orders, so it is void if the engine has accepted it, and the
+// earlier one is void once the engine has accepted this one. Until then the
+// adapter keeps its place.
+func (e *Engine) repeat(o plank.Order, now time.Time) {
+	e.unanswered = &o
+	e.misses++
+	if e.misses >= maxMisses {
+		e.doubt(now)
 	}
-	e.readAfter = now.Add(reportLag)
 	p := e.places[o.Target.Adapter]
 	if p == nil && !o.Unload && o.Target.Adapter.Name != "" {
-		p = &place{ref: o.Target.Adapter, version: o.Target.Version, used: now}
+		p = &place{ref: o.Target.Adapter, version: o.Target.Version, used: now, loaded: now}
 		e.places[o.Target.Adapter] = p
 	}
 	if p != nil {
@@ -257,18 +262,31 @@
 	}
 }
 
-// read takes the engine's own state, asked for at the given time.
-func (e *Engine) read(s plank.EngineStatus, err error, asked, now time.Time) {
+// doubt makes the engine's state unknown until it was read anew.
+func (e *Engine) doubt(now time.Time) {
+	e.known = false
+	e.readAfter = now
+}
+
+// read takes the engine's own state. One that covers fewer orders than were
+// accepted is too old.
+func (e *Engine) read(s plank.EngineStatus, err error, now time.Time) {
 	e.busy = false
 	e.nextStatus = now.Add(statusEvery)
 	if err != nil {
 		e.readAfter = now.Add(basePoll)
 		return
 	}
-	if asked.Before(e.readAfter) || asked.Sub(e.ordersAt) < reportLag {
-		return // the state may be from before the last order
+	if e.counted && s.Seq < e.seq {
+		e.nextStatus = now.Add(reportPace)
+		e.readAfter = now.Add(reportPace)
+		return
+	}
+	if s.Seq != e.seq {
+		e.unanswered = nil // it was carried out, or is void
 	}
-	e.known = true
+	e.known, e.counted = true, true
+	e.misses = 0
 	e.seq = s.Seq
 	clear(e.bases)
 	for _, b := range s.Bases {
@@ -298,6 +316,9 @@
 			p = &place{ref: r.Adapter, used: now, loaded: now}
 			e.places[r.Adapter] = p
 		}
+		if state == loading && p.state == resident && p.version == r.Version {
+			return // it arrived since
+		}
 		p.state, p.version = state, r.Version
 		if state == loading {
 			p.poll = now
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -42,8 +42,18 @@
 	// harm; lateFactor weighs what lies beyond.
 	easyPart   = 0.6
 	lateFactor = 3
+	// plainStep and readStep are an engine's step in milliseconds without and
+	// with a piece of a prompt.
+	plainStep = 5.0
+	readStep  = 54.0
+	// runWeight weighs the time that an answer takes to generate; disturbWeight
+	// weighs the time that the prompt takes from each running answer. Together
+	// they keep long prompts and long answers on different engines.
+	runWeight     = 0.1
+	disturbWeight = 0.1
+	maxDisturbed  = 16
 	// queueCost is what each call that waits for room adds.
-	queueCost = 150 * time.Millisecond
+	queueCost = 40 * time.Millisecond
 )
 
 // An Engine is an engine as a choice sees it.
@@ -61,6 +71,7 @@
 	Places, Idle, MaxPlaces int
 	Running, Queued, Slots  int
 	Backlog                 plank.Tokens // prompts not yet read
+	Reading                 float64      // prompt tokens a second, lately
 	Used, Memory            plank.Tokens
 	FailRate                float64
 	Avoid                   bool
@@ -127,6 +138,8 @@
 	if late := first - time.Duration(easyPart*float64(w.Target)); late > 0 {
 		cost += lateFactor * late
 	}
+	cost += time.Duration(disturbWeight * float64(min(e.Running, maxDisturbed)) * float64(tokensTime(w.Prompt)))
+	cost += time.Duration(runWeight * float64(runTime(e, w)))
 	if w.Adapter.Name != "" && !e.Resident && !e.Loading && !e.Lately {
 		cost += coldPrice
 		cost -= time.Duration(float64(hashSpread) * rank(w.Adapter.String(), e.Instance.ID))
@@ -134,6 +147,14 @@
 	return cost, first
 }
 
+// runTime returns how long the answer takes to generate: a step that reads a
+// piece of a prompt beside takes many times as long as one that does not.
+func runTime(e *Engine, w Work) time.Duration {
+	busy := min(1, e.Reading/(1000*prefillRate))
+	perMs := busy/readStep + (1-busy)/plainStep
+	return time.Duration(float64(w.Output) / perMs * float64(time.Millisecond))
+}
+
 // rank is the rendezvous rank of an engine for a name, from 0 to 1.
 func rank(name string, id plank.EndpointID) float64 {
 	return float64(xxhash.Sum64String(name+"\x00"+string(id))>>11) / (1 << 53)
