Take-over of engines with running calls; released duties go on at once

The domain of two VMs was without a holder for 2.6 s when one followed the other. Change: messages name the adapters in use; a refused unload keeps its place for 0.4 s; orders pause 0.1 s after a conflict; a duty that its holder dropped is taken at once, by a VM of another domain if all of its own leave.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -52,6 +52,9 @@
 	// of its last renewal.
 	Claimed bool
 	Version plank.ObjectVersion
+	// Dropped is set when the VM that claimed the duty last is alive and claims
+	// it no more.
+	Dropped bool
 	// Candidates are the VMs that may take the lease, this one included if it
 	// may.
 	Candidates []plank.VMID
@@ -135,7 +138,11 @@
 		return
 	}
 	first := l.askAt.IsZero()
-	if !first && now.Sub(l.quiet) < silence+time.Duration(rank)*rankDelay {
+	wait := time.Duration(rank) * rankDelay
+	if !f.Dropped {
+		wait += silence
+	}
+	if !first && now.Sub(l.quiet) < wait {
 		return
 	}
 	l.askAt = now.Add(askEvery)
--- a/internal/front/flights.go
+++ b/internal/front/flights.go
@@ -1,49 +1,73 @@
 package front
 
 import (
-	"maps"
 	"sync"
 
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/retry"
+	"knapweedplank.org/plank/internal/wire"
 )
 
-// Flights counts this VM's calls by endpoint. It is safe for concurrent use.
+// Flights counts this VM's calls by endpoint and adapter. It is safe for
+// concurrent use.
 type Flights struct {
 	mu    sync.Mutex
-	calls map[plank.EndpointID]int
+	calls map[plank.EndpointID]map[plank.AdapterRef]int
 	// changed is told of each change.
 	changed func()
 }
 
 // NewFlights returns an empty count.
 func NewFlights(changed func()) *Flights {
-	return &Flights{calls: make(map[plank.EndpointID]int), changed: changed}
+	return &Flights{calls: make(map[plank.EndpointID]map[plank.AdapterRef]int), changed: changed}
 }
 
-// Add counts a call that begins, or with -1 one that ends.
-func (f *Flights) Add(id plank.EndpointID, n int) {
+// Add counts a call that begins, or with -1 one that ends. ref is empty for
+// calls of plain services.
+func (f *Flights) Add(id plank.EndpointID, ref plank.AdapterRef, n int) {
 	f.mu.Lock()
-	f.calls[id] += n
-	if f.calls[id] <= 0 {
+	calls := f.calls[id]
+	if calls == nil {
+		calls = make(map[plank.AdapterRef]int)
+		f.calls[id] = calls
+	}
+	if calls[ref] += n; calls[ref] <= 0 {
+		delete(calls, ref)
+	}
+	if len(calls) == 0 {
 		delete(f.calls, id)
 	}
 	f.mu.Unlock()
 	f.changed()
 }
 
-// All returns the counts.
-func (f *Flights) All() map[plank.EndpointID]int {
+// All returns the counts as messages.
+func (f *Flights) All() []*wire.Flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.calls)
+	out := make([]*wire.Flight, 0, len(f.calls))
+	for id, calls := range f.calls {
+		flight := &wire.Flight{Endpoint: string(id)}
+		for ref, n := range calls {
+			flight.Calls += uint32(n)
+			if ref.Name != "" {
+				flight.Adapters = append(flight.Adapters, ref.String())
+			}
+		}
+		out = append(out, flight)
+	}
+	return out
 }
 
 // Count returns the calls at one endpoint.
 func (f *Flights) Count(id plank.EndpointID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.calls[id]
+	total := 0
+	for _, n := range f.calls[id] {
+		total += n
+	}
+	return total
 }
 
 // Budgets holds a retry budget for each service. It is safe for concurrent use.
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -255,6 +255,8 @@
 // tryModel sends a call to an engine and passes its events on.
 func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, room Room) (result, end) {
 	defer room.Release()
+	s.deps.Flights.Add(inst.ID, j.call.Adapter, 1)
+	defer s.deps.Flights.Add(inst.ID, j.call.Adapter, -1)
 	a := attempt{inst: inst}
 	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
 		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: room.Version(),
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -92,8 +92,8 @@
 		if !p.IsAlive(now) {
 			continue
 		}
-		for id, n := range p.Flights {
-			calls[id] += n
+		for id, f := range p.Flights {
+			calls[id] += f.Calls
 		}
 	}
 	var replicas []pick.Replica
@@ -131,8 +131,8 @@
 			defer cancel()
 		}
 	}
-	s.deps.Flights.Add(inst.ID, 1)
-	defer s.deps.Flights.Add(inst.ID, -1)
+	s.deps.Flights.Add(inst.ID, plank.AdapterRef{}, 1)
+	defer s.deps.Flights.Add(inst.ID, plank.AdapterRef{}, -1)
 	reply, err := s.deps.Sender.Send(ctx, j.call, plank.Dispatch{Instance: inst, Workspace: j.workspaceID(), Deadline: deadline, Urgency: -1})
 	a := attempt{inst: inst, reply: reply, err: err}
 	if err == nil {
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -28,6 +28,14 @@
 	coldPoll = 253 * time.Millisecond
 	// pollEvery is the pause between further checks.
 	pollEvery = 20 * time.Millisecond
+	// conflictPause is the pause after an order that the engine refused because
+	// its state is not what was expected.
+	conflictPause = 100 * time.Millisecond
+	// keepTime is how long a place is kept that the engine refused to unload:
+	// calls of an earlier holder still run on it.
+	keepTime = 400 * time.Millisecond
+	// adoptTime is how long calls that an earlier holder granted may still run.
+	adoptTime = 20 * time.Second
 	// reportPace is the pause before a state that was too old is read again;
 	// reports lag by some hundred milliseconds.
 	reportPace = 70 * time.Millisecond
@@ -110,6 +118,9 @@
 	loaded  time.Time
 	poll    time.Time // when the load is checked next
 	cold    bool      // from the weight store, as far as is known
+	// keep is until when the place is not taken, because the engine refused to
+	// unload it.
+	keep time.Time
 }
 
 // An Action is what an Engine wants done next.
@@ -127,6 +138,9 @@
 	// newest returns the newest announced version of an adapter and when it
 	// became known.
 	newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+	// inUse tells whether other VMs have calls on an adapter of the engine. It
+	// lags, and is asked only while calls of an earlier holder may run.
+	inUse func(plank.EndpointID, plank.AdapterRef) bool
 
 	// bases and places are what the engine holds, as far as is known.
 	bases  map[plank.BaseID]bool
@@ -142,9 +156,11 @@
 	// unanswered is the order that was not answered; it is given again before
 	// any other.
 	unanswered *plank.Order
-	misses     int  // answers missing in a row
-	busy       bool // an action is in progress
-	baseLoad   bool // a base model is on its way
+	misses     int       // answers missing in a row
+	calm       time.Time // until when no adapter is ordered, after a conflict
+	adopted    time.Time // since when this VM orders the engine
+	busy       bool      // an action is in progress
+	baseLoad   bool      // a base model is on its way
 
 	queue   []*ticket
 	running map[*ticket]bool
@@ -155,9 +171,10 @@
 }
 
 // NewEngine returns an engine whose state is not known yet.
-func NewEngine(inst plank.Instance, limits Limits, fence plank.Fence, evictor plank.Evictor, newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)) *Engine {
+func NewEngine(h Held, deps *Deps) *Engine {
 	return &Engine{
-		inst: inst, limits: limits, fence: fence, evictor: evictor, newest: newest,
+		inst: h.Instance, limits: h.Limits, fence: plank.Fence{Holder: deps.Self, Term: h.Term},
+		evictor: deps.Evictor, newest: deps.Newest, inUse: deps.InUse, adopted: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), places: make(map[plank.AdapterRef]*place), running: make(map[*ticket]bool),
 	}
 }
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -34,6 +34,8 @@
 	// Newest returns the newest announced version of an adapter and when it
 	// became known.
 	Newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+	// InUse tells whether other VMs have calls on an adapter of an engine.
+	InUse func(plank.EndpointID, plank.AdapterRef) bool
 	// Cold returns the loads from the weight store that other VMs have under
 	// way.
 	Cold func() int
@@ -238,7 +240,7 @@
 	if old != nil {
 		old.fail("the engine started anew")
 	}
-	k.engines[h.Instance.ID] = NewEngine(h.Instance, h.Limits, plank.Fence{Holder: k.deps.Self, Term: h.Term}, k.deps.Evictor, k.deps.Newest)
+	k.engines[h.Instance.ID] = NewEngine(h, &k.deps)
 	k.dirty[h.Instance.ID] = true
 }
 
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -68,7 +68,7 @@
 // adapterOrder makes room for and loads the adapter of the first ticket that
 // needs one.
 func (e *Engine) adapterOrder(now time.Time, cold func() bool) *plank.Order {
-	if e.loadingCount() >= maxLoading {
+	if e.loadingCount() >= maxLoading || now.Before(e.calm) {
 		return nil
 	}
 	for _, t := range e.queue {
@@ -129,7 +129,10 @@
 	var idle []*place
 	var slots []plank.Slot
 	for _, p := range e.places {
-		if p.state != resident || p.users > 0 || e.isAwaited(p.ref) {
+		if p.state != resident || p.users > 0 || e.isAwaited(p.ref) || now.Before(p.keep) {
+			continue
+		}
+		if now.Sub(e.adopted) < adoptTime && e.inUse(e.inst.ID, p.ref) {
 			continue
 		}
 		idle = append(idle, p)
@@ -163,6 +166,12 @@
 		e.repeat(o, now)
 		return false
 	}
+	if result == plank.OrderConflict {
+		e.calm = now.Add(conflictPause)
+		if p := e.places[o.Target.Adapter]; p != nil && o.Unload {
+			p.keep = now.Add(keepTime)
+		}
+	}
 	if result == plank.OrderConflict || result == plank.OrderMoved || result == plank.OrderRejected {
 		e.doubt(now)
 		return false
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -318,6 +318,19 @@
 	return e, p != nil && p.IsAlive(m.clock.Now())
 }
 
+// InUse tells whether a VM that is alive has calls on an adapter of an engine.
+func (m *Mesh) InUse(id plank.EndpointID, adapter string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, p := range m.peers {
+		if p.IsAlive(now) && slices.Contains(p.Flights[id].Adapters, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // Peers returns what is known of all other VMs.
 func (m *Mesh) Peers() []Peer {
 	m.mu.Lock()
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -19,13 +19,19 @@
 	Leaving  bool
 	Manifest plank.ManifestVersion
 	// Flights counts the VM's calls by endpoint.
-	Flights map[plank.EndpointID]int
+	Flights map[plank.EndpointID]Flight
 	// Duties holds the VM's terms by domain.
 	Duties map[plank.DomainID]Duty
 	// Cold counts the loads from the weight store that the VM has ordered.
 	Cold int
 }
 
+// A Flight is a VM's calls at one endpoint.
+type Flight struct {
+	Calls    int
+	Adapters []string // that they use
+}
+
 // A Duty is a domain whose engines a VM orders.
 type Duty struct {
 	Term plank.Term
@@ -52,9 +58,9 @@
 	}
 	p.Domain, p.Address, p.Leaving = plank.DomainID(g.Domain), g.Address, g.Leaving
 	p.Heard, p.Manifest, p.Cold = now, plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
-	p.Flights = make(map[plank.EndpointID]int, len(g.Flights))
+	p.Flights = make(map[plank.EndpointID]Flight, len(g.Flights))
 	for _, f := range g.Flights {
-		p.Flights[plank.EndpointID(f.Endpoint)] = int(f.Calls)
+		p.Flights[plank.EndpointID(f.Endpoint)] = Flight{Calls: int(f.Calls), Adapters: f.Adapters}
 	}
 	p.Duties = make(map[plank.DomainID]Duty, len(g.Duties))
 	for _, d := range g.Duties {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -27,6 +27,7 @@
 	fenced chan fencing
 	// aliveAt is when a VM of a domain was last known to be alive.
 	aliveAt map[plank.DomainID]time.Time
+	claimer map[plank.DomainID]plank.VMID // that claimed the duty last
 	// stopped is closed to end the loop, with the context for the release.
 	stopped chan context.Context
 	ended   chan struct{}
@@ -119,6 +120,7 @@
 func (l *dutyLoop) facts(d plank.DomainID, now time.Time) duty.Facts {
 	n := l.n
 	f := duty.Facts{Boots: make(map[plank.VMID]plank.BootID)}
+	leaving := false // a VM of the domain is
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
 	if n.settings.Domain == d {
 		inDomain = append(inDomain, n.settings.VM)
@@ -132,9 +134,14 @@
 		f.Boots[p.VM] = p.Boot
 		if claim, ok := p.Duties[d]; ok {
 			f.Claimed = true
+			l.claimer[d] = p.VM
 			f.Version = max(f.Version, claim.Version)
 		}
+		if l.claimer[d] == p.VM && !f.Claimed {
+			f.Dropped = true
+		}
 		if p.Leaving {
+			leaving = leaving || p.Domain == d
 			continue
 		}
 		if p.Domain == d {
@@ -146,7 +153,7 @@
 	if len(inDomain) > 0 {
 		l.aliveAt[d] = now
 		f.Candidates = inDomain
-	} else if now.Sub(l.aliveAt[d]) > orphanTime {
+	} else if leaving || now.Sub(l.aliveAt[d]) > orphanTime {
 		f.Candidates = others
 	}
 	return f
@@ -188,9 +195,8 @@
 	for d, lease := range l.leases {
 		var successor plank.VMID
 		for _, p := range l.n.mesh.Peers() {
-			if p.IsAlive(now) && !p.Leaving && p.Domain == d {
+			if p.IsAlive(now) && !p.Leaving && (successor == "" || p.Domain == d) {
 				successor = p.VM
-				break
 			}
 		}
 		lease.Release(ctx, successor)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	self := mesh.Self{VM: settings.VM, Boot: n.boot, Domain: settings.Domain, Address: settings.Control}
 	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
 	n.duties = &dutyLoop{
-		n: n, leases: make(map[plank.DomainID]*duty.Lease), fenced: make(chan fencing, 16), aliveAt: make(map[plank.DomainID]time.Time),
+		n: n, leases: make(map[plank.DomainID]*duty.Lease), fenced: make(chan fencing, 16), aliveAt: make(map[plank.DomainID]time.Time), claimer: make(map[plank.DomainID]plank.VMID),
 		stopped: make(chan context.Context), ended: make(chan struct{}),
 	}
 	n.buildKeeper(ctx)
@@ -161,6 +161,7 @@
 	n.keeper = grant.NewKeeper(ctx, grant.Deps{
 		Self: n.settings.VM, Operator: platform.NewOperator(n.pool), Evictor: place.Value{}, Clock: n.clock, Log: n.log,
 		Newest: n.newest, Cold: n.peersCold,
+		InUse: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		Publish: func(id plank.EndpointID, s *wire.EngineState) {
 			n.mesh.SetOwn(id, s)
 			n.state.setEngine(id, s)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -62,9 +62,7 @@
 	for _, u := range s.tally.Changed(after) {
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total)})
 	}
-	for id, n := range s.flights.All() {
-		g.Flights = append(g.Flights, &wire.Flight{Endpoint: string(id), Calls: uint32(n)})
-	}
+	g.Flights = s.flights.All()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.Leaving, g.ColdLoads, g.Duties = s.leaving, uint32(s.cold), s.duties
