--- /dev/null
+++ b/internal/limit/tally_test.go
@@ -0,0 +1,151 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/limit"
+	"pgregory.net/rapid"
+)
+
+type handClock struct{ now time.Time }
+
+// Now implements plank.Clock.
+func (c *handClock) Now() time.Time { return c.now }
+
+const (
+	tallyRate  = 1000.0
+	tallyBurst = 1000.0
+)
+
+// A tallyFleet is some VMs with a workspace that sends more than its limit.
+type tallyFleet struct {
+	clock *handClock
+	vms   []*limit.Tally
+	boots []int
+	// hears tells which VMs hear each other.
+	hears    func(a, b int) bool
+	admitted float64
+}
+
+func newTallyFleet(n int, full bool) *tallyFleet {
+	f := &tallyFleet{clock: &handClock{time.Unix(1_800_000_000, 0)}, hears: func(_, _ int) bool { return true }}
+	for range n {
+		f.vms = append(f.vms, f.newTally(full))
+		f.boots = append(f.boots, 1)
+	}
+	f.exchange()
+	return f
+}
+
+func (f *tallyFleet) newTally(full bool) *limit.Tally {
+	n := uint64(0)
+	t := limit.NewTally(f.clock, full, func() uint64 { n++; return n })
+	t.SetLimits([]plank.Workspace{{ID: "w", Rate: tallyRate, Burst: tallyBurst, ByToken: true}})
+	return t
+}
+
+// exchange passes all messages that can be passed.
+func (f *tallyFleet) exchange() {
+	for a, from := range f.vms {
+		heard := 1
+		for b, to := range f.vms {
+			if a == b || !f.hears(a, b) {
+				continue
+			}
+			heard++
+			for _, u := range from.Changed(0) {
+				to.Heard(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), u.Workspace, u.Total)
+			}
+		}
+		from.SetReach(heard, len(f.vms))
+	}
+}
+
+// send offers calls at all VMs for some time; messages pass each 20 ms.
+func (f *tallyFleet) send(d time.Duration, cost float64) {
+	for end := f.clock.now.Add(d); f.clock.now.Before(end); f.clock.now = f.clock.now.Add(20 * time.Millisecond) {
+		for _, vm := range f.vms {
+			if ok, _ := vm.Take("w", plank.Tokens(cost)); ok {
+				f.admitted += cost
+			}
+		}
+		f.exchange()
+	}
+}
+
+// What may be admitted in some seconds: the limit, and a call for each VM for
+// the time in which messages pass.
+func tallyAllowed(vms int, seconds, cost float64) float64 {
+	return tallyBurst + tallyRate*seconds + float64(vms)*cost
+}
+
+func TestTallyHoldsTheLimitOverVMs(t *testing.T) {
+	f := newTallyFleet(6, true)
+	f.send(8*time.Second, 50)
+	assert.Assert(t, f.admitted <= tallyAllowed(6, 8, 50), "admitted %v", f.admitted)
+	assert.Assert(t, f.admitted >= 0.95*(tallyBurst+8*tallyRate), "admitted %v", f.admitted)
+}
+
+// The parts of a split fleet admit no more than the whole would, but for what
+// was saved up in each when the split was noticed.
+func TestTallyInASplitFleet(t *testing.T) {
+	f := newTallyFleet(6, true)
+	f.hears = func(a, b int) bool { return (a < 2) == (b < 2) }
+	f.exchange()
+	f.send(8*time.Second, 50)
+	assert.Assert(t, f.admitted <= tallyAllowed(6, 8, 50), "admitted %v", f.admitted)
+	assert.Assert(t, f.admitted >= 0.9*8*tallyRate, "admitted %v", f.admitted)
+}
+
+// VMs that all start anew do not each begin with a full burst.
+func TestTallyAfterARestartOfAll(t *testing.T) {
+	f := newTallyFleet(6, false)
+	f.send(8*time.Second, 50)
+	assert.Assert(t, f.admitted <= tallyAllowed(6, 8, 50), "admitted %v", f.admitted)
+	assert.Assert(t, f.admitted >= 0.9*8*tallyRate, "admitted %v", f.admitted)
+}
+
+// A call that costs more than the burst runs on a full bucket, and is owed.
+func TestTallyServesCallsLargerThanTheBurst(t *testing.T) {
+	f := newTallyFleet(1, true)
+	ok, _ := f.vms[0].Take("w", 1500)
+	assert.Assert(t, ok)
+	ok, wait := f.vms[0].Take("w", 100)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait.Round(time.Millisecond), 600*time.Millisecond)
+	f.vms[0].Refund("w", 1500)
+	ok, _ = f.vms[0].Take("w", 100)
+	assert.Assert(t, ok)
+}
+
+// Whatever VMs fall silent, restart and return, the fleet admits the limit at
+// most, but for the delay in which that is noticed.
+func TestTallyProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "vms")
+		f := newTallyFleet(n, true)
+		cut := 0
+		f.hears = func(a, b int) bool { return (a < cut) == (b < cut) }
+		seconds := 0.0
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				cut = rapid.IntRange(0, n).Draw(t, "cut")
+				f.exchange()
+			case 1:
+				i := rapid.IntRange(0, n-1).Draw(t, "vm")
+				f.vms[i], f.boots[i] = f.newTally(false), f.boots[i]+1
+				f.exchange()
+			}
+			f.send(500*time.Millisecond, 40)
+			seconds += 0.5
+		}
+		if f.admitted > tallyAllowed(n, seconds, 40)+tallyBurst {
+			t.Fatalf("admitted %v in %v s", f.admitted, seconds)
+		}
+	})
+}
