--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -7,9 +7,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 )
@@ -55,8 +55,8 @@
 	// Dropped is set when the VM that claimed the duty last is alive and claims
 	// it no more.
 	Dropped bool
-	// Candidates are the VMs that may take the lease, this one included if it
-	// may.
+	// Candidates are the VMs that may take the lease, the fittest first, this
+	// one included if it may.
 	Candidates []plank.VMID
 	// Boots holds the runs of the VMs that are alive, without this one.
 	Boots map[plank.VMID]plank.BootID
@@ -133,7 +133,7 @@
 	if l.quiet.IsZero() {
 		l.quiet = now
 	}
-	rank := rankOf(l.self, l.domain, f.Candidates)
+	rank := slices.Index(f.Candidates, l.self)
 	if rank < 0 || now.Before(l.askAt) {
 		return
 	}
@@ -156,24 +156,6 @@
 	}
 }
 
-// rankOf orders the candidates differently for each domain, so that one VM does
-// not get all duties. It returns -1 if vm is none of them.
-func rankOf(vm plank.VMID, domain plank.DomainID, candidates []plank.VMID) int {
-	weight := func(v plank.VMID) uint64 { return xxhash.Sum64String(string(domain) + "/" + string(v)) }
-	rank, found := 0, false
-	for _, c := range candidates {
-		if c == vm {
-			found = true
-		} else if weight(c) > weight(vm) {
-			rank++
-		}
-	}
-	if !found {
-		return -1
-	}
-	return rank
-}
-
 func (l *Lease) key() string { return PrefixDuties + string(l.domain) }
 
 // tryTake takes the lease if nobody holds it. A VM that has just started takes
--- /dev/null
+++ b/internal/front/choose.go
@@ -0,0 +1,94 @@
+package front
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/health"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pick"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// A Chooser chooses engines by what this VM knows of them.
+type Chooser struct {
+	Domain plank.DomainID
+	View   *view.Holder
+	Mesh   *mesh.Mesh
+	Health *health.Table
+}
+
+// A Choice is the engine that serves a call soonest.
+type Choice struct {
+	// Informed is set when the state of any engine is known here.
+	Informed bool
+	Engine   pick.Engine
+	State    mesh.Engine
+	// Expected is the time to the first token.
+	Expected time.Duration
+	of       int
+}
+
+// fields describes a choice for the log.
+func (c *Choice) fields() logrus.Fields {
+	e := &c.Engine
+	return logrus.Fields{
+		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
+		"lately": e.Lately, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.of,
+	}
+}
+
+// Choose returns the best engine of a service, if there is one.
+func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, w pick.Work, skip func(plank.EndpointID) bool) (Choice, bool) {
+	v := c.View.Load()
+	newest := v.Versions[w.Adapter]
+	var engines []pick.Engine
+	var states []mesh.Engine
+	var choice Choice
+	for _, inst := range v.Endpoints(service) {
+		if inst.Leaving {
+			continue
+		}
+		state, alive := c.Mesh.Engine(inst.ID)
+		choice.Informed = choice.Informed || state.State != nil
+		e := pick.Engine{
+			Instance: inst, MaxPlaces: pool.MaxAdapters, Slots: pool.Slots, Memory: pool.Memory,
+			FailRate: c.Health.FailRate(inst.ID), Avoid: c.Health.IsAvoided(inst.ID), Far: inst.Domain != c.Domain,
+		}
+		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
+			e.Known = alive
+			describe(&e, state.State, w.Adapter, newest)
+			e.Lately = c.Mesh.HeldLately(inst.ID, w.Adapter.String())
+		} else {
+			state = mesh.Engine{}
+		}
+		e.Avoid = e.Avoid || !e.Known
+		engines = append(engines, e)
+		states = append(states, state)
+	}
+	i, expected := pick.Best(engines, w, skip)
+	if i < 0 {
+		return choice, false
+	}
+	choice.Engine, choice.State, choice.Expected, choice.of = engines[i], states[i], expected, len(engines)
+	return choice, true
+}
+
+// describe takes what an engine's holder tells.
+func describe(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
+	e.Running, e.Queued, e.Reading = int(s.Running), int(s.Queued), s.Reading
+	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
+	e.Places = len(s.Places)
+	name := ref.String()
+	for _, p := range s.Places {
+		if p.Adapter == name {
+			e.Loading = p.Loading
+			e.Resident = !p.Loading
+			e.Stale = plank.VersionNumber(p.Version) < newest
+		} else if p.Users == 0 && !p.Loading {
+			e.Idle++
+		}
+	}
+}
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/grant"
-	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/sse"
@@ -32,6 +31,8 @@
 	// outputShare is the part of the most output tokens that a call without an
 	// estimate is expected to need.
 	outputShare = 0.5
+	// maxFailRate is from which part of failed calls on an engine is left out.
+	maxFailRate = 0.3
 	// maxUrgency is the last rank that engines know.
 	maxUrgency = 9
 )
@@ -88,8 +89,11 @@
 	}
 }
 
-// hasHolder tells whether the state of any engine of the service is known.
+// hasHolder tells whether any holder is heard.
 func (s *Server) hasHolder(j *job) bool {
+	if len(s.holders(s.deps.Clock.Now())) > 0 {
+		return true
+	}
 	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
 		if _, alive := s.deps.Mesh.Engine(inst.ID); alive {
 			return true
@@ -129,53 +133,103 @@
 // refusal if there was one to ask.
 func (s *Server) reserve(ctx context.Context, j *job, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
 	w := j.work()
-	w.Target = j.target.Sub(s.deps.Clock.Now())
-	engines, states := s.engines(j, w)
-	i, expected := pick.Best(engines, w, func(id plank.EndpointID) bool { return skip[id] })
-	if i < 0 {
-		return plank.Instance{}, nil, noRoom("no engine to ask", 0)
-	}
-	e := engines[i]
 	now := s.deps.Clock.Now()
-	if now.Add(expected).After(j.deadline.Add(-minRun)) {
-		return plank.Instance{}, nil, noRoom("no engine in time", expected/2)
-	}
+	w.Target = j.target.Sub(now)
 	until := now.Add(maxRoomWait)
 	if limit := j.deadline.Add(-minRun); limit.Before(until) {
 		until = limit
 	}
-	log := j.log.WithFields(logrus.Fields{
-		"endpoint": e.Instance.ID, "adapter": w.Adapter.String(), "expected_ms": expected.Milliseconds(), "resident": e.Resident,
-		"loading": e.Loading, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": len(engines),
-	})
-	room, err := s.roomOn(ctx, j, states[i], e, grant.Request{
+	r := grant.Request{
 		ID: j.call.ID, Adapter: w.Adapter, Version: j.view.Versions[w.Adapter], Prompt: w.Prompt, Output: w.Output,
 		Priority: j.priority, Deadline: until,
-	})
+	}
+	choice, ok := s.deps.Chooser.Choose(j.service, j.pool, w, func(id plank.EndpointID) bool { return skip[id] })
+	if !choice.Informed {
+		return s.reserveAny(ctx, j, w, r, skip)
+	}
+	if !ok {
+		return plank.Instance{}, nil, noRoom("no engine to ask", 0)
+	}
+	if now.Add(choice.Expected).After(j.deadline.Add(-minRun)) {
+		return plank.Instance{}, nil, noRoom("no engine in time", choice.Expected/2)
+	}
+	log := j.log.WithFields(choice.fields())
+	room, err := s.roomOn(ctx, j, choice, r)
+	log = log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds())
 	if err != nil {
-		log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds()).WithError(err).Info("front: no room")
-		return e.Instance, nil, err
+		log.WithError(err).Info("front: no room")
+		return choice.Engine.Instance, nil, err
 	}
-	log.WithFields(logrus.Fields{"waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(), "version": room.Version()}).Info("front: room granted")
-	return e.Instance, room, nil
+	log.WithField("version", room.Version()).Info("front: room granted")
+	return choice.Engine.Instance, room, nil
+}
+
+// reserveAny lets a holder choose, in a fleet that is too large for each VM to
+// know all engines. The holder of the own domain is asked first.
+func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
+	now := s.deps.Clock.Now()
+	for _, holder := range s.holders(now) {
+		inst, room, err := s.deps.Rooms.ReserveAny(ctx, holder, Wish{Request: r, Service: j.service, Target: w.Target, Skip: s.unfit(j, skip)})
+		log := j.log.WithFields(logrus.Fields{
+			"endpoint": inst.ID, "adapter": w.Adapter.String(), "holder": holder, "waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(),
+		})
+		var refusal *plank.RefusalError
+		switch {
+		case err == nil:
+			log.WithField("version", room.Version()).Info("front: room granted")
+			return inst, room, nil
+		case errors.As(err, &refusal):
+			log.WithError(err).Info("front: no room")
+			return inst, nil, refusal
+		}
+		log.WithError(err).Warn("front: a holder does not answer")
+	}
+	return plank.Instance{}, nil, noRoom("no holder answers", fullRetry)
+}
+
+// holders returns the addresses of the VMs with duties, the own domain's first.
+func (s *Server) holders(now time.Time) []string {
+	var near, far []string
+	for _, p := range s.deps.Mesh.Peers() {
+		if !p.IsAlive(now) || len(p.Duties) == 0 {
+			continue
+		}
+		if _, ok := p.Duties[s.deps.Domain]; ok {
+			near = append(near, p.Address)
+		} else {
+			far = append(far, p.Address)
+		}
+	}
+	return append(near, far...)
+}
+
+// unfit lists the engines that were tried, and those that fail this VM.
+func (s *Server) unfit(j *job, skip map[plank.EndpointID]bool) []plank.EndpointID {
+	var out []plank.EndpointID
+	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
+		if skip[inst.ID] || s.deps.Health.IsAvoided(inst.ID) || s.deps.Health.FailRate(inst.ID) > maxFailRate {
+			out = append(out, inst.ID)
+		}
+	}
+	return out
 }
 
 // roomOn asks an engine's holder for room. If the holder cannot be asked, an
 // engine that was known to hold the adapter is used without.
-func (s *Server) roomOn(ctx context.Context, j *job, state mesh.Engine, e pick.Engine, r grant.Request) (Room, *plank.RefusalError) {
+func (s *Server) roomOn(ctx context.Context, j *job, c Choice, r grant.Request) (Room, *plank.RefusalError) {
 	var refusal *plank.RefusalError
-	if e.Known {
-		room, err := s.deps.Rooms.Reserve(ctx, state, e.Instance, r)
+	if c.Engine.Known {
+		room, err := s.deps.Rooms.Reserve(ctx, c.State, c.Engine.Instance, r)
 		if err == nil {
 			return room, nil
 		}
 		if errors.As(err, &refusal) {
 			return nil, refusal
 		}
-		j.log.WithField("endpoint", e.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
+		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
 	}
-	if state.State != nil && (e.Resident && !e.Stale || r.Adapter.Name == "") {
-		return freeRoom{version: residentVersion(state.State, r.Adapter)}, nil
+	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
+		return freeRoom{version: residentVersion(c.State.State, r.Adapter)}, nil
 	}
 	return nil, noRoom("nobody orders the engine", fullRetry)
 }
@@ -206,52 +260,6 @@
 	return 0
 }
 
-// engines returns the service's engines as the choice sees them.
-func (s *Server) engines(j *job, w pick.Work) ([]pick.Engine, []mesh.Engine) {
-	v := s.deps.View.Load()
-	var engines []pick.Engine
-	var states []mesh.Engine
-	for _, inst := range v.Endpoints(j.service) {
-		if inst.Leaving {
-			continue
-		}
-		state, alive := s.deps.Mesh.Engine(inst.ID)
-		e := pick.Engine{
-			Instance: inst, MaxPlaces: j.pool.MaxAdapters, Slots: j.pool.Slots, Memory: j.pool.Memory,
-			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID), Far: inst.Domain != s.deps.Domain,
-		}
-		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
-			e.Known = alive
-			describe(&e, state.State, w.Adapter, v.Versions[w.Adapter])
-			e.Lately = s.deps.Mesh.HeldLately(inst.ID, w.Adapter.String())
-		} else {
-			state = mesh.Engine{}
-		}
-		e.Avoid = e.Avoid || !e.Known
-		engines = append(engines, e)
-		states = append(states, state)
-	}
-	return engines, states
-}
-
-// describe takes what an engine's holder tells.
-func describe(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
-	e.Running, e.Queued = int(s.Running), int(s.Queued)
-	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
-	e.Reading = s.Reading
-	e.Places = len(s.Places)
-	name := ref.String()
-	for _, p := range s.Places {
-		if p.Adapter == name {
-			e.Loading = p.Loading
-			e.Resident = !p.Loading
-			e.Stale = plank.VersionNumber(p.Version) < newest
-		} else if p.Users == 0 && !p.Loading {
-			e.Idle++
-		}
-	}
-}
-
 // tryModel sends a call to an engine and passes its events on.
 func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, room Room) (result, end) {
 	defer room.Release()
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -11,6 +11,7 @@
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -31,15 +32,28 @@
 	// Reserve waits for room until ctx ends. A *plank.RefusalError tells that
 	// there is none, an *plank.UnavailableError that nobody could be asked.
 	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Room, error)
+	// ReserveAny lets the holder at an address choose the engine. The engine
+	// that it chose is named with the room, and with a refusal if there was one.
+	ReserveAny(ctx context.Context, addr string, w Wish) (plank.Instance, Room, error)
+}
+
+// A Wish asks for room on any engine of a service.
+type Wish struct {
+	grant.Request
+	Service plank.ServiceID
+	// Target is the time left until the first token is late.
+	Target time.Duration
+	Skip   []plank.EndpointID
 }
 
 // Desk asks the holder of an engine's domain for room: this VM's keeper, or a
 // peer's.
 type Desk struct {
-	Keeper *grant.Keeper
-	Hub    *peer.Hub
-	Clock  plank.Clock
-	Log    *logrus.Entry
+	Keeper  *grant.Keeper
+	Chooser *Chooser
+	Hub     *peer.Hub
+	Clock   plank.Clock
+	Log     *logrus.Entry
 }
 
 var _ Rooms = (*Desk)(nil)
@@ -83,31 +97,76 @@
 const replyMargin = 150 * time.Millisecond
 
 func (d *Desk) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (Room, error) {
-	wait := r.Deadline.Sub(d.Clock.Now())
+	q := request(r, d.Clock.Now())
+	q.Endpoint, q.Born = string(inst.ID), inst.Born.UnixMilli()
+	reply, room, err := d.ask(ctx, addr, q)
+	if err != nil {
+		return nil, err
+	}
+	if room == nil {
+		return nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+	}
+	return room, nil
+}
+
+// ReserveAny implements Rooms. A holder that chose an engine of another one
+// names that, which is then asked.
+func (d *Desk) ReserveAny(ctx context.Context, addr string, w Wish) (plank.Instance, Room, error) {
+	q := request(w.Request, d.Clock.Now())
+	q.Service, q.TargetMicros = string(w.Service), w.Target.Microseconds()
+	for _, id := range w.Skip {
+		q.Skip = append(q.Skip, string(id))
+	}
+	reply, room, err := d.ask(ctx, addr, q)
+	if err != nil {
+		return plank.Instance{}, nil, err
+	}
+	inst, known := d.Chooser.View.Load().Instances[plank.EndpointID(reply.Endpoint)]
+	switch {
+	case room != nil && known:
+		return inst, room, nil
+	case room != nil:
+		room.Release()
+		return plank.Instance{}, nil, noRoom("the holder chose an engine that is not known here", 0)
+	case reply.Address != "" && known:
+		far, err := d.reserveRemote(ctx, reply.Address, inst, w.Request)
+		return inst, far, err
+	}
+	return inst, nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+}
+
+// request returns the message for a request.
+func request(r grant.Request, now time.Time) *wire.ReserveRequest {
+	return &wire.ReserveRequest{
+		Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version), Prompt: float64(r.Prompt), Output: float64(r.Output),
+		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
+	}
+}
+
+// ask sends a request to a holder and waits for the reply that settles it. The
+// room is nil if none was granted.
+func (d *Desk) ask(ctx context.Context, addr string, q *wire.ReserveRequest) (*wire.ReserveReply, Room, error) {
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	s, err := d.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: &wire.ReserveRequest{
-		Endpoint: string(inst.ID), Born: inst.Born.UnixMilli(), Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version),
-		Prompt: float64(r.Prompt), Output: float64(r.Output), Priority: uint32(max(0, r.Priority)), WaitMicros: wait.Microseconds(),
-	}}})
+	defer stop()
+	s, err := d.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: q}})
 	if err != nil {
 		cancel()
-		return nil, err
+		return nil, nil, err
 	}
-	reply, err := receiveReply(s, wait)
-	stop()
+	reply, err := receiveReply(s, time.Duration(q.WaitMicros)*time.Microsecond)
 	if err == nil && reply.Granted {
-		return &remoteRoom{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: d.Log}, nil
+		return reply, &remoteRoom{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: d.Log}, nil
 	}
 	s.Close()
 	cancel()
 	switch {
 	case ctx.Err() != nil:
-		return nil, noRoom("no room in time", 0)
+		return nil, nil, noRoom("no room in time", 0)
 	case err != nil:
-		return nil, &plank.UnavailableError{Target: "holder " + addr, Op: "reserve", Err: err}
+		return nil, nil, &plank.UnavailableError{Target: "holder " + addr, Op: "reserve", Err: err}
 	}
-	return nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+	return reply, nil, nil
 }
 
 // receiveReply waits for the reply that settles a reservation.
@@ -176,11 +235,18 @@
 	replies := &replier{desk: d, stream: s}
 	queued := time.AfterFunc(ackTime/5, replies.queued)
 	defer queued.Stop()
-	t, err := d.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), grant.Request{
+	r := grant.Request{
 		ID: plank.RequestID(q.Request), Adapter: plank.ParseAdapterRef(q.Adapter), Version: plank.VersionNumber(q.Version),
 		Prompt: plank.Tokens(q.Prompt), Output: plank.Tokens(q.Output), Priority: int(q.Priority),
 		Deadline: d.Clock.Now().Add(time.Duration(q.WaitMicros) * time.Microsecond),
-	})
+	}
+	if q.Endpoint == "" {
+		if elsewhere := d.choose(q, r); elsewhere != nil {
+			replies.settle(elsewhere)
+			return
+		}
+	}
+	t, err := d.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), r)
 	if err != nil {
 		if ctx.Err() == nil {
 			replies.settle(&wire.ReserveReply{Reason: err.Error()})
@@ -188,7 +254,7 @@
 		return
 	}
 	defer t.Release()
-	replies.settle(&wire.ReserveReply{Granted: t.Granted, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
+	replies.settle(&wire.ReserveReply{Granted: t.Granted, Endpoint: q.Endpoint, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
 	if !t.Granted {
 		return
 	}
@@ -202,6 +268,33 @@
 	}
 }
 
+// choose fills in the engine of a request that leaves it open. It returns the
+// reply if the engine is another holder's or there is none.
+func (d *Desk) choose(q *wire.ReserveRequest, r grant.Request) *wire.ReserveReply {
+	skip := make(map[plank.EndpointID]bool, len(q.Skip))
+	for _, id := range q.Skip {
+		skip[plank.EndpointID(id)] = true
+	}
+	service := plank.ServiceID(q.Service)
+	pool := d.Chooser.View.Load().Pool(service)
+	if pool == nil {
+		return &wire.ReserveReply{Reason: "no such service"}
+	}
+	w := pick.Work{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: time.Duration(q.TargetMicros) * time.Microsecond}
+	c, ok := d.Chooser.Choose(service, pool, w, func(id plank.EndpointID) bool { return skip[id] })
+	if !ok || !c.Engine.Known {
+		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: fullRetry.Microseconds()}
+	}
+	if d.Clock.Now().Add(c.Expected / 2).After(r.Deadline) {
+		return &wire.ReserveReply{Reason: "no engine in time", RetryMicros: (c.Expected / 2).Microseconds()}
+	}
+	q.Endpoint, q.Born = string(c.Engine.Instance.ID), c.Engine.Instance.Born.UnixMilli()
+	if c.State.Address != "" {
+		return &wire.ReserveReply{Endpoint: q.Endpoint, Address: c.State.Address}
+	}
+	return nil
+}
+
 // A replier sends the replies to one reservation in order.
 type replier struct {
 	desk *Desk
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,6 +33,7 @@
 	View    *view.Holder
 	Mesh    *mesh.Mesh
 	Rooms   Rooms
+	Chooser *Chooser
 	Tally   *limit.Tally
 	Budgets *Budgets
 	Health  *health.Table
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -35,6 +35,9 @@
 	redialAfter = 300 * time.Millisecond
 	// forgetTime is how long a VM that never answers is tried.
 	forgetTime = 30 * time.Second
+	// maxSpread is the most states, of engines times VMs, that a holder tells all
+	// VMs; beyond it only other holders are told.
+	maxSpread = 300
 	// sendTimeout bounds one message.
 	sendTimeout = time.Second
 )
@@ -42,18 +45,31 @@
 // A Local composes this VM's part of a message.
 type Local interface {
 	// Gossip returns the state, with the parts that changed after the given
-	// change, and the number of the last change that it covers.
-	Gossip(after uint64) (*wire.Gossip, uint64)
+	// changes, and the number of the last change that it covers.
+	Gossip(after After) (*wire.Gossip, uint64)
 	// Merge takes the parts of a peer's message that the mesh does not keep.
 	Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip)
 }
 
+// An After tells which changes a stream has carried.
+type After struct {
+	Change uint64
+	// Engines is the same for the engines' states, which are left out if
+	// Withhold is set.
+	Engines  uint64
+	Withhold bool
+	// Near is set when the receiver is in the same failure domain.
+	Near bool
+}
+
 // Self names this VM.
 type Self struct {
 	VM      plank.VMID
 	Boot    plank.BootID
 	Domain  plank.DomainID
 	Address string
+	// Capacity compares VMs; the holders of duties should have much of it.
+	Capacity float64
 }
 
 // A Mesh knows the other VMs. It is safe for concurrent use.
@@ -144,7 +160,7 @@
 // message went out.
 func (m *Mesh) stream(ctx context.Context, addr string, wake <-chan struct{}) bool {
 	at := position{}
-	g := m.compose(&at)
+	g := m.compose(&at, addr)
 	s, err := m.hub.Open(ctx, addr, &wire.Call{Body: &wire.Call_Gossip{Gossip: g}})
 	if err != nil {
 		return false
@@ -159,7 +175,7 @@
 			m.hub.Discard(addr)
 			return false
 		}
-		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(m.compose(&at)) != nil {
+		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(m.compose(&at, addr)) != nil {
 			m.hub.Discard(addr)
 			return true
 		}
@@ -192,21 +208,52 @@
 
 // A position is what a stream has carried.
 type position struct {
-	change uint64 // the last change of the local state
-	met    int    // addresses of Mesh.met
+	change  uint64 // the last change of the local state
+	engines uint64 // the last change of the engines' states
+	met     int    // addresses of Mesh.met
 }
 
 // compose returns the next message of a stream.
-func (m *Mesh) compose(at *position) *wire.Gossip {
-	g, last := m.local.Gossip(at.change)
+func (m *Mesh) compose(at *position, addr string) *wire.Gossip {
+	near, withhold := m.receiver(addr)
+	if withhold {
+		at.engines = 0
+	}
+	g, last := m.local.Gossip(After{Change: at.change, Engines: at.engines, Withhold: withhold, Near: near})
 	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
+	g.EnginesWithheld, g.Capacity = withhold, m.self.Capacity
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g.Addresses = slices.Clone(m.met[at.met:])
 	at.change, at.met = last, len(m.met)
+	if !withhold {
+		at.engines = last
+	}
 	return g
 }
 
+// receiver tells whether the VM at addr is in this VM's domain, and whether
+// the engines' states are withheld from it: in a large fleet only the holders
+// of duties are told, and others ask them.
+func (m *Mesh) receiver(addr string) (near, withhold bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := 0
+	for _, e := range m.engines {
+		if e.Holder == m.self.VM {
+			own++
+		}
+	}
+	withhold = own*len(m.senders) > maxSpread
+	for _, p := range m.peers {
+		if p.Address == addr {
+			near = p.Domain == m.self.Domain
+			withhold = withhold && len(p.Duties) == 0
+		}
+	}
+	return near, withhold
+}
+
 // heardFrom tells whether the VM at addr was heard of lately.
 func (m *Mesh) heardFrom(addr string, now time.Time) bool {
 	m.mu.Lock()
@@ -250,6 +297,9 @@
 	if !slices.Contains(m.met, g.Address) {
 		m.met = append(m.met, g.Address)
 	}
+	if g.EnginesWithheld {
+		m.dropEngines(vm)
+	}
 	for _, e := range g.Engines {
 		m.takeEngine(p, e, now)
 	}
@@ -270,6 +320,15 @@
 	}
 }
 
+// dropEngines forgets the states that a VM no longer tells. The lock is held.
+func (m *Mesh) dropEngines(vm plank.VMID) {
+	for id, e := range m.engines {
+		if e.Holder == vm {
+			delete(m.engines, id)
+		}
+	}
+}
+
 // SetOwn keeps what this VM knows of an engine that it orders; nil ends it.
 func (m *Mesh) SetOwn(id plank.EndpointID, state *wire.EngineState) {
 	m.mu.Lock()
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -22,6 +22,11 @@
 	Flights map[plank.EndpointID]Flight
 	// Duties holds the VM's terms by domain.
 	Duties map[plank.DomainID]Duty
+	// News is when the VM last had news from the store by itself; zero for
+	// none.
+	News time.Time
+	// Capacity compares VMs.
+	Capacity float64
 	// Cold counts the loads from the weight store that the VM has ordered.
 	Cold int
 }
@@ -58,6 +63,10 @@
 	}
 	p.Domain, p.Address, p.Leaving = plank.DomainID(g.Domain), g.Address, g.Leaving
 	p.Heard, p.Manifest, p.Cold = now, plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
+	p.Capacity, p.News = g.Capacity, time.Time{}
+	if g.NewsMicros >= 0 {
+		p.News = now.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
+	}
 	p.Flights = make(map[plank.EndpointID]Flight, len(g.Flights))
 	for _, f := range g.Flights {
 		p.Flights[plank.EndpointID(f.Endpoint)] = Flight{Calls: int(f.Calls), Adapters: f.Adapters}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -122,6 +123,7 @@
 	f := duty.Facts{Boots: make(map[plank.VMID]plank.BootID)}
 	leaving := false // a VM of the domain is
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
+	capacity := map[plank.VMID]float64{n.settings.VM: capacity(n.settings)}
 	if n.settings.Domain == d {
 		inDomain = append(inDomain, n.settings.VM)
 	} else {
@@ -132,6 +134,7 @@
 			continue
 		}
 		f.Boots[p.VM] = p.Boot
+		capacity[p.VM] = p.Capacity
 		if claim, ok := p.Duties[d]; ok {
 			f.Claimed = true
 			l.claimer[d] = p.VM
@@ -152,13 +155,21 @@
 	}
 	if len(inDomain) > 0 {
 		l.aliveAt[d] = now
-		f.Candidates = inDomain
+		f.Candidates = fittest(d, inDomain, capacity)
 	} else if leaving || now.Sub(l.aliveAt[d]) > orphanTime {
-		f.Candidates = others
+		f.Candidates = fittest(d, others, capacity)
 	}
 	return f
 }
 
+// fittest orders VMs for a domain's duty, the largest first. VMs of one size
+// are ordered differently for each domain, so that one does not get all duties.
+func fittest(d plank.DomainID, vms []plank.VMID, capacity map[plank.VMID]float64) []plank.VMID {
+	vms = byHash(string(d), vms)
+	slices.SortStableFunc(vms, func(a, b plank.VMID) int { return cmp.Compare(capacity[b], capacity[a]) })
+	return vms
+}
+
 // sync tells the keeper which engines this VM orders.
 func (l *dutyLoop) sync(instances map[plank.EndpointID]plank.Instance) {
 	v := l.n.view.Load()
--- /dev/null
+++ b/internal/node/news.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/watch"
+)
+
+// The rules on who calls the store.
+const (
+	// maxNewsAge is how old the news of peers may be before a VM calls the
+	// store itself. It leaves time to read the store within the 2 s in which a
+	// configuration must be in force.
+	maxNewsAge = 1700 * time.Millisecond
+	// largeDomain is from how many VMs on two of a domain call the store.
+	largeDomain = 8
+	// smallFleet is up to how many VMs news go to all failure domains.
+	smallFleet = 16
+)
+
+// A newsroom decides whether this VM calls the store, or lives on what its
+// peers tell.
+type newsroom struct {
+	self   plank.VMID
+	mesh   *mesh.Mesh
+	domain plank.DomainID
+	clock  plank.Clock
+
+	mu    sync.Mutex
+	loops []*watch.Loop
+}
+
+// add takes a loop that follows the store.
+func (r *newsroom) add(l *watch.Loop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loops = append(r.loops, l)
+}
+
+// fresh returns when this VM last had an answer to each of its watches; the
+// zero time if it does not watch.
+func (r *newsroom) fresh() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var oldest time.Time
+	for i, l := range r.loops {
+		if f := l.Fresh(); i == 0 || f.Before(oldest) {
+			oldest = f
+		}
+	}
+	return oldest
+}
+
+// mustWatch tells whether this VM is to call the store itself.
+func (r *newsroom) mustWatch() bool {
+	now := r.clock.Now()
+	alive := []plank.VMID{r.self}
+	newest := time.Time{}
+	peers := r.mesh.Peers()
+	for _, p := range peers {
+		if !p.IsAlive(now) {
+			continue
+		}
+		near := p.Domain == r.domain
+		if near && !p.Leaving {
+			alive = append(alive, p.VM)
+		}
+		if (near || len(peers) < smallFleet) && p.News.After(newest) {
+			newest = p.News
+		}
+	}
+	if now.Sub(newest) > maxNewsAge {
+		return true
+	}
+	watchers := 1
+	if len(alive) >= largeDomain {
+		watchers = 2
+	}
+	return slices.Index(byHash("watch", alive), r.self) < watchers
+}
+
+// byHash orders VMs for a task, alike on all VMs.
+func byHash(task string, vms []plank.VMID) []plank.VMID {
+	weight := func(vm plank.VMID) uint64 { return xxhash.Sum64String(task + "/" + string(vm)) }
+	slices.SortFunc(vms, func(a, b plank.VMID) int { return cmp.Compare(weight(a), weight(b)) })
+	return vms
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,8 @@
 	storeTimeout = 700 * time.Millisecond
 	// watchWait is how long a watch waits; a connection that went silent is
 	// noticed watchGrace after it.
-	watchWait  = 2 * time.Second
-	watchGrace = 500 * time.Millisecond
+	watchWait  = time.Second
+	watchGrace = 400 * time.Millisecond
 	// eventPace gathers events of the store into one call.
 	eventPace = 250 * time.Millisecond
 	// dialTimeout bounds a connection to an endpoint.
@@ -75,9 +75,13 @@
 	budgets *front.Budgets
 	poison  *poison.Table
 	desk    *front.Desk
+	chooser *front.Chooser
+	health  *health.Table
 	duties  *dutyLoop
 	state   *state
 	known   releaseTimes
+	table   *watch.Table
+	news    *newsroom
 
 	cancel   context.CancelFunc
 	callers  *http.Server
@@ -98,8 +102,10 @@
 	n.buildState()
 	n.buildClients()
 	n.hub = peer.New(net.ParseIP(settings.IP), nil, n.log)
-	self := mesh.Self{VM: settings.VM, Boot: n.boot, Domain: settings.Domain, Address: settings.Control}
+	self := mesh.Self{VM: settings.VM, Boot: n.boot, Domain: settings.Domain, Address: settings.Control, Capacity: capacity(settings)}
 	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
+	n.news.mesh = n.mesh
+	n.state.peers = func() int { return len(n.mesh.Peers()) }
 	n.duties = &dutyLoop{
 		n: n, leases: make(map[plank.DomainID]*duty.Lease), fenced: make(chan fencing, 16), aliveAt: make(map[plank.DomainID]time.Time), claimer: make(map[plank.DomainID]plank.VMID),
 		stopped: make(chan context.Context), ended: make(chan struct{}),
@@ -114,6 +120,17 @@
 	return n, nil
 }
 
+// The size of a VM that counts as 1.
+const (
+	usualCPU  = 0.4
+	usualLink = 100.0 // Mbit/s
+)
+
+// capacity compares VMs by what they have least of.
+func capacity(s *platform.Settings) float64 {
+	return min(s.CPUShare/usualCPU, s.LinkMbps/usualLink)
+}
+
 func newBoot() plank.BootID {
 	var b [8]byte
 	for i := range b {
@@ -129,6 +146,10 @@
 		engines: make(map[plank.EndpointID]engineChange), suspects: make(map[plank.Fingerprint]suspectChange),
 	}
 	n.view = view.New(n.viewChanged)
+	n.table = watch.NewTable(n.state.setObject)
+	n.news = &newsroom{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock}
+	n.state.table, n.state.news, n.state.clock = n.table, n.news, n.clock
+	n.state.objects = make(map[string]uint64)
 	n.tally = limit.NewTally(n.clock, n.settings.Bootstrap, n.state.stamp)
 	n.poison = poison.New(n.clock, n.state.setSuspect)
 	n.state.view, n.state.tally, n.state.poison = n.view, n.tally, n.poison
@@ -173,7 +194,9 @@
 			}
 		},
 	})
-	n.desk = &front.Desk{Keeper: n.keeper, Hub: n.hub, Clock: n.clock, Log: n.log}
+	n.health = health.New(n.clock)
+	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health}
+	n.desk = &front.Desk{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
 }
 
 // newest returns the newest version of an adapter and since when it is known.
@@ -222,8 +245,8 @@
 		return err
 	}
 	server := front.New(front.Deps{
-		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Rooms: n.desk, Tally: n.tally, Budgets: n.budgets,
-		Health: health.New(n.clock), Poison: n.poison, Flights: n.state.flights, Sender: platform.NewSender(n.pool, n.clock),
+		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Rooms: n.desk, Chooser: n.chooser, Tally: n.tally, Budgets: n.budgets,
+		Health: n.health, Poison: n.poison, Flights: n.state.flights, Sender: platform.NewSender(n.pool, n.clock),
 		Ends: n.endsAt, Crashed: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.entrance = idle.Wrap(callers)
@@ -282,11 +305,7 @@
 
 // start begins the loops of the daemon.
 func (n *Node) start(ctx context.Context) {
-	dir := platform.Directory{}
-	watch.New(ctx, n.store, platform.PrefixConfig, &watch.Manifests{Key: platform.KeyManifest, Dir: dir, View: n.view, Log: n.log}, eventPace, n.clock, n.log)
-	instances := watch.NewInstances(platform.PrefixServers, dir, n.view, n.clock, n.log)
-	watch.New(ctx, n.store, platform.PrefixServers, instances, eventPace, n.clock, n.log)
-	watch.New(ctx, n.store, platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log}, eventPace, n.clock, n.log)
+	instances := n.follow(ctx)
 	for _, addr := range n.settings.Seeds {
 		n.mesh.Contact(addr)
 	}
@@ -301,6 +320,21 @@
 	}()
 }
 
+// follow begins to follow the store.
+func (n *Node) follow(ctx context.Context) *watch.Instances {
+	dir := platform.Directory{}
+	instances := watch.NewInstances(platform.PrefixServers, dir, n.view, n.state.setObject, n.clock, n.log)
+	n.table.Add(platform.PrefixConfig, &watch.Manifests{Key: platform.KeyManifest, Dir: dir, View: n.view, Log: n.log})
+	n.table.Add(platform.PrefixServers, instances)
+	n.table.Add(platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log})
+	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixServers, platform.PrefixVersions} {
+		n.news.add(watch.New(ctx, watch.Options{
+			Store: n.store, Prefix: prefix, Table: n.table, Pace: eventPace, Active: n.news.mustWatch, Clock: n.clock, Log: n.log,
+		}))
+	}
+	return instances
+}
+
 // Serve answers the calls of other VMs.
 func (n *Node) Serve(call *wire.Call, s *peer.Stream) {
 	switch body := call.Body.(type) {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -10,6 +10,7 @@
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/watch"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -21,12 +22,18 @@
 	tally   *limit.Tally
 	flights *front.Flights
 	poison  *poison.Table
+	table   *watch.Table
+	news    *newsroom
+	clock   plank.Clock
+	peers   func() int // how many VMs are known
 
 	mu      sync.Mutex
 	leaving bool
 	cold    int
 	duties  []*wire.Duty
 	engines map[plank.EndpointID]engineChange
+	// objects holds the numbers of the changes of the store's objects.
+	objects map[string]uint64
 	// suspects holds the numbers of the changes of poison entries.
 	suspects map[plank.Fingerprint]suspectChange
 }
@@ -53,37 +60,77 @@
 }
 
 // Gossip implements mesh.Local.
-func (s *state) Gossip(after uint64) (*wire.Gossip, uint64) {
+func (s *state) Gossip(after mesh.After) (*wire.Gossip, uint64) {
 	last := s.changes.Load()
-	g := &wire.Gossip{}
+	g := &wire.Gossip{NewsMicros: -1, Flights: s.flights.All()}
 	if m := s.view.Load().Manifest; m != nil {
 		g.Manifest = uint64(m.Version)
 	}
-	for _, u := range s.tally.Changed(after) {
+	for _, u := range s.tally.Changed(after.Change) {
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total)})
 	}
-	g.Flights = s.flights.All()
+	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
+		if age := s.clock.Now().Sub(fresh); age < maxNewsAge {
+			g.NewsMicros = age.Microseconds()
+			g.Objects = s.changedObjects(after.Change)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.Leaving, g.ColdLoads, g.Duties = s.leaving, uint32(s.cold), s.duties
+	if !after.Withhold {
+		g.Engines = s.changedEngines(after.Engines)
+	}
+	for fp, c := range s.suspects {
+		if c.change > after.Change {
+			g.Suspects = append(g.Suspects, &wire.Suspect{
+				Print: fmtPrint(fp), Crashes: uint32(c.entry.Crashes), Quarantined: c.entry.Quarantined, UntilUnix: c.entry.Until.Unix(),
+			})
+		}
+	}
+	return g, last
+}
+
+// changedEngines returns the states that changed. The lock is held.
+func (s *state) changedEngines(after uint64) []*wire.EngineState {
+	var out []*wire.EngineState
 	for id, e := range s.engines {
 		if e.change <= after {
 			continue
 		}
 		if e.state != nil {
-			g.Engines = append(g.Engines, e.state)
+			out = append(out, e.state)
 		} else {
-			g.Engines = append(g.Engines, &wire.EngineState{Endpoint: string(id), Gone: true})
+			out = append(out, &wire.EngineState{Endpoint: string(id), Gone: true})
 		}
 	}
-	for fp, c := range s.suspects {
-		if c.change > after {
-			g.Suspects = append(g.Suspects, &wire.Suspect{
-				Print: fmtPrint(fp), Crashes: uint32(c.entry.Crashes), Quarantined: c.entry.Quarantined, UntilUnix: c.entry.Until.Unix(),
-			})
+	return out
+}
+
+// changedObjects returns the objects of the store that changed.
+func (s *state) changedObjects(after uint64) []*wire.StoredObject {
+	s.mu.Lock()
+	var keys []string
+	for key, change := range s.objects {
+		if change > after {
+			keys = append(keys, key)
 		}
 	}
-	return g, last
+	s.mu.Unlock()
+	out := make([]*wire.StoredObject, 0, len(keys))
+	for _, key := range keys {
+		c := s.table.Get(key)
+		out = append(out, &wire.StoredObject{Key: key, Value: c.Object.Value, Version: uint64(c.Object.Version), Revision: uint64(c.Revision)})
+	}
+	return out
+}
+
+// setObject tells the others that an object of the store changed. It is called
+// once the change is in the table.
+func (s *state) setObject(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[key] = s.stamp()
 }
 
 // Merge implements mesh.Local.
@@ -91,6 +138,12 @@
 	for _, u := range g.Usages {
 		s.tally.Heard(vm, boot, plank.WorkspaceID(u.Workspace), plank.Tokens(u.Tokens))
 	}
+	for _, o := range g.Objects {
+		s.table.Told(plank.Change{
+			Object:   plank.Object{Key: o.Key, Value: o.Value, Version: plank.ObjectVersion(o.Version)},
+			Revision: plank.Revision(o.Revision),
+		})
+	}
 	for _, x := range g.Suspects {
 		s.poison.Merge(suspectEntry(x))
 	}
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -1,10 +1,13 @@
-// Package watch defines the loops that follow the platform's store: the
-// configuration, the endpoints' registrations and the adapter versions.
+// Package watch defines how a VM follows the platform's store: configuration,
+// endpoints' registrations and adapter versions. Some VMs of each failure
+// domain watch the store and tell the others, since each call has its price;
+// a VM whose news is old watches by itself.
 package watch
 
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,78 +22,99 @@
 	retryDelay = 200 * time.Millisecond
 	// relistEvery bounds how long a lost event can stay unnoticed.
 	relistEvery = 15 * time.Second
+	// idlePace is the pause between looks whether the loop is needed.
+	idlePace = 50 * time.Millisecond
 )
 
-// A Sink takes what a loop reads.
-type Sink interface {
-	// Reset replaces all objects. lost tells that the store did not answer, or
-	// had lost its history, before.
-	Reset(objects []plank.Object, lost bool)
-	// Apply takes changes in order.
-	Apply(changes []plank.Change)
+// Options are what a loop depends on.
+type Options struct {
+	Store  plank.Store
+	Prefix string
+	Table  *Table
+	// Pace is the pause after each batch of events, so that events that come
+	// in quick succession cost one call.
+	Pace time.Duration
+	// Active tells whether this VM is to call the store now.
+	Active func() bool
+	Clock  plank.Clock
+	Log    *logrus.Entry
 }
 
 // A Loop follows one prefix of the store.
 type Loop struct {
-	store  plank.Store
-	prefix string
-	sink   Sink
-	pace   time.Duration
-	clock  plank.Clock
-	log    *logrus.Entry
-	done   chan struct{}
+	opts Options
+	// fresh is when the store last answered; nil for never.
+	fresh atomic.Pointer[time.Time]
 }
 
-// New starts a loop that ends with ctx. After each batch of events it waits for
-// pace, so that events that come in quick succession cost one call.
-func New(ctx context.Context, store plank.Store, prefix string, sink Sink, pace time.Duration, clock plank.Clock, log *logrus.Entry) *Loop {
-	l := &Loop{store: store, prefix: prefix, sink: sink, pace: pace, clock: clock, log: log, done: make(chan struct{})}
-	go func() {
-		defer close(l.done)
-		l.run(ctx)
-	}()
+// New starts a loop that ends with ctx.
+func New(ctx context.Context, opts Options) *Loop {
+	l := &Loop{opts: opts}
+	go func() { l.run(ctx) }()
 	return l
 }
 
-// Done is closed when the loop has ended.
-func (l *Loop) Done() <-chan struct{} { return l.done }
+// Fresh returns when the store last answered; the zero time for never.
+func (l *Loop) Fresh() time.Time {
+	if t := l.fresh.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+func (l *Loop) answered() {
+	now := l.opts.Clock.Now()
+	l.fresh.Store(&now)
+}
 
 func (l *Loop) run(ctx context.Context) {
 	lost := false
 	for ctx.Err() == nil {
-		objects, rev, err := l.store.List(ctx, l.prefix, "")
+		if !l.opts.Active() {
+			pause.For(ctx, idlePace)
+			continue
+		}
+		objects, rev, err := l.opts.Store.List(ctx, l.opts.Prefix, "")
 		if err != nil {
 			l.failed(ctx, "list", err, !lost)
 			lost = true
 			continue
 		}
 		if lost {
-			l.log.WithField("prefix", l.prefix).Info("watch: the store answers again")
+			l.opts.Log.WithField("prefix", l.opts.Prefix).Info("watch: the store answers again")
 		}
-		l.sink.Reset(objects, lost)
+		l.answered()
+		l.opts.Table.Reset(l.opts.Prefix, objects, rev, lost)
 		lost = l.follow(ctx, rev)
 	}
 }
 
-// follow watches from a revision until the watch fails or a new list is due. It
-// reports whether it failed.
+// follow watches from a revision until the watch fails, a new list is due, or
+// the loop is no longer needed. It reports whether it failed.
 func (l *Loop) follow(ctx context.Context, rev plank.Revision) bool {
-	due := l.clock.Now().Add(relistEvery)
-	for l.clock.Now().Before(due) {
-		changes, next, err := l.store.Watch(ctx, []string{l.prefix}, rev)
+	due := l.opts.Clock.Now().Add(relistEvery)
+	for l.opts.Clock.Now().Before(due) && l.opts.Active() {
+		changes, next, err := l.opts.Store.Watch(ctx, []string{l.opts.Prefix}, rev)
 		var gone *plank.HistoryError
 		if errors.As(err, &gone) {
-			l.log.WithField("prefix", l.prefix).WithField("revision", rev).Warn("watch: history is gone, reading all anew")
+			l.opts.Log.WithFields(logrus.Fields{"prefix": l.opts.Prefix, "revision": rev}).Warn("watch: history is gone, reading all anew")
 			return true
 		}
 		if err != nil {
 			l.failed(ctx, "watch", err, true)
 			return true
 		}
+		l.answered()
 		rev = max(rev, next)
 		if len(changes) > 0 {
-			l.sink.Apply(changes)
-			pause.For(ctx, l.pace)
+			for i := range changes {
+				if changes[i].Object.Version == 0 {
+					// A deletion has no version of its own.
+					changes[i].Revision = rev
+				}
+			}
+			l.opts.Table.Apply(l.opts.Prefix, changes)
+			pause.For(ctx, l.opts.Pace)
 		}
 	}
 	return false
@@ -102,7 +126,7 @@
 		return
 	}
 	if first {
-		l.log.WithFields(logrus.Fields{"prefix": l.prefix, "op": op}).WithError(err).Warn("watch: the store does not answer")
+		l.opts.Log.WithFields(logrus.Fields{"prefix": l.opts.Prefix, "op": op}).WithError(err).Warn("watch: the store does not answer")
 	}
 	pause.For(ctx, retryDelay)
 }
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -25,15 +25,8 @@
 
 var _ Sink = (*Manifests)(nil)
 
-// Reset implements Sink.
-func (s *Manifests) Reset(objects []plank.Object, _ bool) {
-	for _, o := range objects {
-		s.put(o)
-	}
-}
-
 // Apply implements Sink.
-func (s *Manifests) Apply(changes []plank.Change) {
+func (s *Manifests) Apply(changes []plank.Change, _ bool) {
 	for _, c := range changes {
 		if c.Object.Version > 0 {
 			s.put(c.Object)
@@ -41,6 +34,9 @@
 	}
 }
 
+// Matters implements Sink.
+func (s *Manifests) Matters(c plank.Change) bool { return c.Object.Key == s.Key }
+
 func (s *Manifests) put(o plank.Object) {
 	if o.Key != s.Key {
 		return
@@ -64,17 +60,8 @@
 
 var _ Sink = (*Releases)(nil)
 
-// Reset implements Sink.
-func (s *Releases) Reset(objects []plank.Object, _ bool) {
-	var all []plank.Residency
-	for _, o := range objects {
-		all = s.decode(all, o)
-	}
-	s.View.AddVersions(all)
-}
-
 // Apply implements Sink.
-func (s *Releases) Apply(changes []plank.Change) {
+func (s *Releases) Apply(changes []plank.Change, _ bool) {
 	var all []plank.Residency
 	for _, c := range changes {
 		if c.Object.Version > 0 {
@@ -84,6 +71,9 @@
 	s.View.AddVersions(all)
 }
 
+// Matters implements Sink.
+func (s *Releases) Matters(plank.Change) bool { return true }
+
 func (s *Releases) decode(all []plank.Residency, o plank.Object) []plank.Residency {
 	r, err := s.Dir.Release(o.Value)
 	if err != nil {
@@ -102,6 +92,8 @@
 	view   *view.Holder
 	clock  plank.Clock
 	log    *logrus.Entry
+	// dropped is told the key of each endpoint that is gone for good.
+	dropped func(key string)
 
 	mu sync.Mutex
 	// entries holds the last readable registration of each endpoint.
@@ -115,37 +107,20 @@
 var _ Sink = (*Instances)(nil)
 
 // NewInstances returns a sink of registrations below prefix.
-func NewInstances(prefix string, dir plank.Directory, v *view.Holder, clock plank.Clock, log *logrus.Entry) *Instances {
+func NewInstances(prefix string, dir plank.Directory, v *view.Holder, dropped func(string), clock plank.Clock, log *logrus.Entry) *Instances {
 	return &Instances{
-		prefix: prefix, dir: dir, view: v, clock: clock, log: log,
+		prefix: prefix, dir: dir, view: v, dropped: dropped, clock: clock, log: log,
 		entries: make(map[plank.EndpointID]plank.Instance), missing: make(map[plank.EndpointID]time.Time),
 	}
 }
 
-// Reset implements Sink.
-func (s *Instances) Reset(objects []plank.Object, lost bool) {
+// Apply implements Sink.
+func (s *Instances) Apply(changes []plank.Change, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if lost {
 		s.grace = s.clock.Now().Add(returnGrace)
 	}
-	seen := make(map[plank.EndpointID]bool, len(objects))
-	for _, o := range objects {
-		seen[s.id(o)] = true
-		s.put(o)
-	}
-	for id := range s.entries {
-		if !seen[id] {
-			s.remove(id)
-		}
-	}
-	s.publish()
-}
-
-// Apply implements Sink.
-func (s *Instances) Apply(changes []plank.Change) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, c := range changes {
 		if c.Object.Version == 0 {
 			s.remove(s.id(c.Object))
@@ -156,6 +131,25 @@
 	s.publish()
 }
 
+// Matters implements Sink: counts of orders and lists of adapters come from
+// the endpoints' holders. The end of a registration matters once its grace has
+// passed.
+func (s *Instances) Matters(c plank.Change) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.entries[s.id(c.Object)]
+	if c.Object.Version == 0 {
+		return false
+	}
+	inst, err := s.dir.Instance(s.id(c.Object), c.Object.Value)
+	return err == nil && (!known || !sameInstance(old, inst))
+}
+
+// sameInstance tells whether two registrations say the same to a router.
+func sameInstance(a, b plank.Instance) bool {
+	return a.Service == b.Service && a.Addr == b.Addr && a.Domain == b.Domain && a.Born.Equal(b.Born) && a.Slots == b.Slots && a.Leaving == b.Leaving
+}
+
 // Expire drops the registrations that did not come back in time.
 func (s *Instances) Expire() {
 	s.mu.Lock()
@@ -186,7 +180,7 @@
 		return
 	}
 	delete(s.missing, id)
-	if old, ok := s.entries[id]; !ok || old.Leaving != inst.Leaving || !old.Born.Equal(inst.Born) || old.Addr != inst.Addr {
+	if old, ok := s.entries[id]; !ok || !sameInstance(old, inst) {
 		s.log.WithFields(logrus.Fields{
 			"endpoint": id, "service": inst.Service, "addr": inst.Addr, "domain": inst.Domain,
 			"leaving": inst.Leaving, "born": inst.Born.UnixMilli(), "revision": o.Version,
@@ -214,6 +208,7 @@
 	delete(s.entries, id)
 	delete(s.missing, id)
 	s.log.WithField("endpoint", id).Info("watch: endpoint gone")
+	s.dropped(s.prefix + string(id))
 }
 
 // publish makes the registrations visible. The lock is held.
--- /dev/null
+++ b/internal/watch/table.go
@@ -0,0 +1,111 @@
+package watch
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"knapweedplank.org/plank"
+)
+
+// A Sink takes changes of the objects of one prefix, in order. It reports which
+// of them matter to other VMs.
+type Sink interface {
+	// Apply takes changes; lost tells that they come from a list after the
+	// store did not answer or had lost its history.
+	Apply(changes []plank.Change, lost bool)
+	// Matters tells whether a change says something new beside counts.
+	Matters(c plank.Change) bool
+}
+
+// A Table holds the objects of the followed prefixes, from this VM's own calls
+// and from what peers tell. Per object the newest revision wins, so the order
+// in which sources tell of it does not matter. It is safe for concurrent use.
+type Table struct {
+	// changed is told the key of each change that matters.
+	changed func(key string)
+
+	mu    sync.Mutex
+	sinks map[string]Sink // by prefix
+	// objects holds the newest change of each key, deletions included.
+	objects map[string]plank.Change
+}
+
+// NewTable returns an empty table.
+func NewTable(changed func(key string)) *Table {
+	return &Table{changed: changed, sinks: make(map[string]Sink), objects: make(map[string]plank.Change)}
+}
+
+// Add makes a sink take the objects of a prefix.
+func (t *Table) Add(prefix string, sink Sink) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sinks[prefix] = sink
+}
+
+// Reset takes a list of all objects of a prefix as of a revision.
+func (t *Table) Reset(prefix string, objects []plank.Object, rev plank.Revision, lost bool) {
+	changes := make([]plank.Change, 0, len(objects))
+	seen := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		seen[o.Key] = true
+		changes = append(changes, plank.Change{Object: o, Revision: plank.Revision(o.Version)})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(t.objects)) {
+		known := t.objects[key]
+		if strings.HasPrefix(key, prefix) && !seen[key] && known.Object.Version > 0 && known.Revision <= rev {
+			changes = append(changes, plank.Change{Object: plank.Object{Key: key}, Revision: rev})
+		}
+	}
+	t.apply(prefix, changes, lost)
+}
+
+// Apply takes changes of a prefix.
+func (t *Table) Apply(prefix string, changes []plank.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(prefix, changes, false)
+}
+
+// Told takes a change from a peer.
+func (t *Table) Told(c plank.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for prefix := range t.sinks {
+		if strings.HasPrefix(c.Object.Key, prefix) {
+			t.apply(prefix, []plank.Change{c}, false)
+		}
+	}
+}
+
+// apply passes what is new to the sink. The lock is held.
+func (t *Table) apply(prefix string, changes []plank.Change, lost bool) {
+	sink := t.sinks[prefix]
+	if sink == nil {
+		return
+	}
+	var fresh []plank.Change
+	for _, c := range changes {
+		if known, ok := t.objects[c.Object.Key]; ok && c.Revision <= known.Revision {
+			continue
+		}
+		if sink.Matters(c) {
+			defer t.changed(c.Object.Key)
+		}
+		t.objects[c.Object.Key] = c
+		fresh = append(fresh, c)
+	}
+	if len(fresh) > 0 || lost {
+		sink.Apply(fresh, lost)
+	}
+}
+
+// Get returns the newest change of a key.
+func (t *Table) Get(key string) plank.Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.objects[key]
+}
