--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -41,6 +41,7 @@
 type progress struct {
 	begun  bool
 	lastID string // of the last event passed on
+	order  *sse.Order
 }
 
 // serveModel serves a call of a model engine.
@@ -48,7 +49,7 @@
 	s.deps.Budgets.Of(j.service).Request()
 	s.awaitHolder(ctx, j)
 	skip := make(map[plank.EndpointID]bool)
-	p := &progress{lastID: j.call.LastEvent}
+	p := &progress{lastID: j.call.LastEvent, order: sse.NewOrder(j.call.LastEvent)}
 	retry := time.Duration(0)
 	for rooms := 0; rooms < maxRooms; rooms++ {
 		inst, room, err := s.reserve(ctx, j, skip)
@@ -310,6 +311,12 @@
 			}
 			return broken, err
 		}
+		switch p.order.Check(ev.ID) {
+		case sse.Repeat:
+			continue
+		case sse.Gap:
+			return broken, &gapError{after: p.lastID, got: ev.ID}
+		}
 		if !p.begun {
 			p.begun = true
 			j.first = s.deps.Clock.Now()
@@ -327,6 +334,14 @@
 	}
 }
 
+// A gapError reports that a stream left out an event.
+type gapError struct {
+	after, got string
+}
+
+// Error returns the message.
+func (e *gapError) Error() string { return "event " + e.got + " follows " + e.after }
+
 // endStream ends a stream that its engine ended.
 func (s *Server) endStream(j *job, p *progress, reply *plank.Reply) (result, error) {
 	if p.begun {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -163,12 +165,34 @@
 	switch {
 	case a.err != nil || a.reply.Encoded || !a.reply.Stamped:
 		return broken
+	case promises(a.reply.Status):
+		// The endpoint does not say that it has not run the call, which the
+		// status would tell the caller.
+		a.err = &statusError{a.reply.Status}
+		return broken
 	case a.reply.Status/100 == 2:
 		return served
 	}
 	return failed
 }
 
+// promises tells whether a status tells callers that the call has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// A statusError reports an answer that cannot be passed on.
+type statusError struct {
+	status int
+}
+
+// Error returns the message.
+func (e *statusError) Error() string { return "status " + strconv.Itoa(e.status) + " for a call that may have run" }
+
 // judge records what the attempt tells of its endpoint.
 func (s *Server) judge(j *job, a *attempt) {
 	log := j.log.WithFields(logrus.Fields{"endpoint": a.inst.ID, "sends": j.sends})
--- /dev/null
+++ b/internal/sse/order.go
@@ -0,0 +1,51 @@
+package sse
+
+import "strconv"
+
+// A Verdict tells what to do with an event.
+type Verdict int
+
+// The verdicts on events.
+const (
+	Pass   Verdict = iota // the event is next
+	Repeat                // the caller has it already
+	Gap                   // an event before it is missing
+)
+
+// An Order checks that a stream's events come one after the other, also over
+// endpoints when a stream is resumed. Ids that are not numbers are not checked;
+// gaps are told only of streams whose ids rise by one.
+type Order struct {
+	last  uint64
+	known bool // last is the id of an event
+	steps int  // events that followed their predecessor by one
+}
+
+// NewOrder returns the check of a stream whose caller has the event with the
+// given id, or none if it is empty.
+func NewOrder(lastID string) *Order {
+	o := &Order{}
+	if n, err := strconv.ParseUint(lastID, 10, 64); err == nil {
+		o.last, o.known = n, true
+	}
+	return o
+}
+
+// Check returns the verdict on the next event.
+func (o *Order) Check(id string) Verdict {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return Pass
+	}
+	switch {
+	case !o.known:
+	case n <= o.last:
+		return Repeat
+	case n == o.last+1:
+		o.steps++
+	case o.steps > 0:
+		return Gap
+	}
+	o.last, o.known = n, true
+	return Pass
+}
