--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -124,9 +124,6 @@
 	if j.call.Hint > 0 {
 		w.Output = min(j.call.Hint, j.call.Output)
 	}
-	if n := len(j.call.Parts); n > 1 {
-		w.Prefix = j.call.Parts[n-2].ID
-	}
 	return w
 }
 
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -191,7 +191,9 @@
 }
 
 // Error returns the message.
-func (e *statusError) Error() string { return "status " + strconv.Itoa(e.status) + " for a call that may have run" }
+func (e *statusError) Error() string {
+	return "status " + strconv.Itoa(e.status) + " for a call that may have run"
+}
 
 // judge records what the attempt tells of its endpoint.
 func (s *Server) judge(j *job, a *attempt) {
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -39,6 +39,9 @@
 	// Cold returns the loads from the weight store that other VMs have under
 	// way.
 	Cold func() int
+	// Loading tells others how many loads from the weight store are under way
+	// here.
+	Loading func(n int)
 	// Publish tells others the state of an engine; nil ends it.
 	Publish func(id plank.EndpointID, s *wire.EngineState)
 	// Fenced is told that another VM has a higher term for a domain.
@@ -55,6 +58,7 @@
 	// The fields below belong to the goroutine.
 	engines map[plank.EndpointID]*Engine
 	total   int // engines of the fleet
+	cold    int // as told last
 	dirty   map[plank.EndpointID]bool
 }
 
@@ -119,9 +123,22 @@
 		}
 	}
 	clear(k.dirty)
+	if n := k.coldLoads(); n != k.cold {
+		k.cold = n
+		k.deps.Loading(n)
+	}
 	return wait
 }
 
+// coldLoads counts the loads from the weight store on all engines.
+func (k *Keeper) coldLoads() int {
+	n := 0
+	for _, e := range k.engines {
+		n += e.coldCount()
+	}
+	return n
+}
+
 // pumpEngine settles what can be settled and begins the next action. It
 // reports whether the engine changed.
 func (k *Keeper) pumpEngine(e *Engine, now time.Time) bool {
@@ -136,11 +153,7 @@
 
 // mayLoadCold tells whether another load from the weight store may begin.
 func (k *Keeper) mayLoadCold() bool {
-	cold := k.deps.Cold()
-	for _, e := range k.engines {
-		cold += e.coldCount()
-	}
-	return cold < max(minCold, int(coldPerEngine*float64(k.total)))
+	return k.deps.Cold()+k.coldLoads() < max(minCold, int(coldPerEngine*float64(k.total)))
 }
 
 // act carries out an action and hands its result back to the goroutine.
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,140 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/store/memory"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+// A local is a VM's own part of the messages.
+type local struct {
+	mu     sync.Mutex
+	duties []*wire.Duty
+	states []*wire.EngineState
+	heard  map[plank.VMID]int
+}
+
+// Gossip implements mesh.Local.
+func (l *local) Gossip(after mesh.After) (*wire.Gossip, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := &wire.Gossip{NewsMicros: -1, Duties: l.duties}
+	if !after.Withhold && after.Engines < 1 {
+		g.Engines = l.states
+	}
+	return g, 1
+}
+
+// Merge implements mesh.Local.
+func (l *local) Merge(vm plank.VMID, _ plank.BootID, _ *wire.Gossip) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[vm]++
+}
+
+type node struct {
+	*mesh.Mesh
+	local *local
+	hub   *peer.Hub
+	addr  string
+	stop  func()
+}
+
+// Serve implements peer.Handler.
+func (n *node) Serve(call *wire.Call, s *peer.Stream) { n.Mesh.Serve(call.GetGossip(), s) }
+
+func startNode(t *testing.T, i int) *node {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{local: &local{heard: map[plank.VMID]int{}}, addr: ln.Addr().String()}
+	n.hub = peer.New(nil, nil, log.WithField("n", i))
+	self := mesh.Self{VM: plank.VMID(fmt.Sprint("vm", i)), Boot: plank.BootID(fmt.Sprint("b", i)), Domain: "d", Address: n.addr}
+	n.Mesh = mesh.New(ctx, self, n.hub, n.local, plank.SystemClock{}, log.WithField("n", i))
+	go n.hub.Serve(ln, n)
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		ln.Close()
+		n.hub.Close()
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// VMs that start at the same moment each read an empty list of members. They
+// meet all the same, through one that they all know.
+func TestVMsThatStartTogetherMeet(t *testing.T) {
+	nodes := make([]*node, 5)
+	for i := range nodes {
+		nodes[i] = startNode(t, i)
+	}
+	for _, n := range nodes[1:] {
+		n.Register(context.Background(), memory.New()) // as if the others' records came later
+		n.Contact(nodes[0].addr)
+	}
+	for _, n := range nodes {
+		eventually(t, "all VMs are heard", func() bool {
+			heard, known := n.Reach()
+			return heard == len(nodes) && known == len(nodes)
+		})
+	}
+}
+
+// A VM that falls silent is noticed, and counts as known for a while.
+func TestSilentVMIsNoticed(t *testing.T) {
+	a, b := startNode(t, 1), startNode(t, 2)
+	a.Contact(b.addr)
+	eventually(t, "the VM is heard", func() bool { heard, _ := a.Reach(); return heard == 2 })
+	b.stop()
+	eventually(t, "the VM is silent", func() bool {
+		heard, known := a.Reach()
+		return heard == 1 && known == 2
+	})
+}
+
+// In a large fleet the states of engines go to holders of duties only.
+func TestEnginesAreWithheldInLargeFleets(t *testing.T) {
+	holder, other, plain := startNode(t, 1), startNode(t, 2), startNode(t, 3)
+	for i := range 400 {
+		id := fmt.Sprint("e", i)
+		holder.local.states = append(holder.local.states, &wire.EngineState{Endpoint: id})
+		holder.SetOwn(plank.EndpointID(id), holder.local.states[i])
+	}
+	other.local.duties = []*wire.Duty{{Domain: "x", Term: 1}}
+	other.Contact(holder.addr)
+	plain.Contact(holder.addr)
+	eventually(t, "the other holder knows the engines", func() bool { _, ok := other.Engine("e7"); return ok })
+	eventually(t, "the plain VM heard the holder", func() bool {
+		plain.local.mu.Lock()
+		defer plain.local.mu.Unlock()
+		return plain.local.heard["vm1"] > 4
+	})
+	_, known := plain.Engine("e7")
+	assert.Assert(t, !known)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 func (n *Node) buildKeeper(ctx context.Context) {
 	n.keeper = grant.NewKeeper(ctx, grant.Deps{
 		Self: n.settings.VM, Operator: platform.NewOperator(n.pool), Evictor: place.Value{}, Clock: n.clock, Log: n.log,
-		Newest: n.newest, Cold: n.peersCold,
+		Newest: n.newest, Cold: n.peersCold, Loading: n.state.setCold,
 		InUse: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		Publish: func(id plank.EndpointID, s *wire.EngineState) {
 			n.mesh.SetOwn(id, s)
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -81,11 +81,8 @@
 // A Work is the call that an engine is chosen for.
 type Work struct {
 	Adapter plank.AdapterRef
-	// Prefix names the shared part of the prompt; calls with the same one read
-	// faster where it was read before.
-	Prefix string
-	Prompt plank.Tokens
-	Output plank.Tokens
+	Prompt  plank.Tokens
+	Output  plank.Tokens
 	// Target is the time left until the first token is late.
 	Target time.Duration
 }
@@ -103,12 +100,12 @@
 		d += placeWait
 	}
 	if w.Adapter.Name != "" {
-		d += loadTime(e, w)
+		d += loadTime(e)
 	}
 	return d
 }
 
-func loadTime(e *Engine, w Work) time.Duration {
+func loadTime(e *Engine) time.Duration {
 	switch {
 	case e.Resident && !e.Stale:
 		return 0
--- /dev/null
+++ b/internal/watch/table_test.go
@@ -0,0 +1,138 @@
+package watch_test
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/watch"
+)
+
+type handClock struct{ now time.Time }
+
+// Now implements plank.Clock.
+func (c *handClock) Now() time.Time { return c.now }
+
+// A directory whose objects are plank's own types in JSON.
+type directory struct{}
+
+// Manifest implements plank.Directory.
+func (directory) Manifest(value []byte) (*plank.Manifest, error) {
+	m := new(plank.Manifest)
+	return m, json.Unmarshal(value, m)
+}
+
+// Instance implements plank.Directory.
+func (directory) Instance(id plank.EndpointID, value []byte) (plank.Instance, error) {
+	inst := plank.Instance{}
+	err := json.Unmarshal(value, &inst)
+	inst.ID = id
+	return inst, err
+}
+
+// Release implements plank.Directory.
+func (directory) Release(value []byte) (plank.Residency, error) {
+	var r plank.Residency
+	return r, json.Unmarshal(value, &r)
+}
+
+type fixture struct {
+	clock     *handClock
+	view      *view.Holder
+	table     *watch.Table
+	instances *watch.Instances
+	changed   []string
+}
+
+func newFixture() *fixture {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{clock: &handClock{time.Unix(1_800_000_000, 0)}, view: view.New(nil)}
+	note := func(key string) { f.changed = append(f.changed, key) }
+	f.table = watch.NewTable(note)
+	f.instances = watch.NewInstances("servers/", directory{}, f.view, note, f.clock, log.WithField("t", 1))
+	f.table.Add("servers/", f.instances)
+	f.table.Add("config/", &watch.Manifests{Key: "config/main", Dir: directory{}, View: f.view, Log: log.WithField("t", 1)})
+	return f
+}
+
+func object(key string, rev int, value any) plank.Object {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return plank.Object{Key: key, Value: data, Version: plank.ObjectVersion(rev)}
+}
+
+func change(key string, rev int, value any) plank.Change {
+	return plank.Change{Object: object(key, rev, value), Revision: plank.Revision(rev)}
+}
+
+func (f *fixture) has(id plank.EndpointID) bool {
+	_, ok := f.view.Load().Instances[id]
+	return ok
+}
+
+// The newest revision of an object wins, whoever tells of it, and a deletion is
+// not undone by older news.
+func TestNewestRevisionWins(t *testing.T) {
+	f := newFixture()
+	worker := plank.Instance{Service: "s", Addr: "a:1"}
+	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, worker)})
+	assert.Assert(t, f.has("e1"))
+	f.table.Told(plank.Change{Object: plank.Object{Key: "servers/e1"}, Revision: 9})
+	assert.Assert(t, !f.has("e1"))
+	f.table.Told(change("servers/e1", 7, worker))
+	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, worker)})
+	assert.Assert(t, !f.has("e1"))
+	f.table.Reset("servers/", []plank.Object{object("servers/e1", 12, worker)}, 12, false)
+	assert.Assert(t, f.has("e1"))
+}
+
+// An older configuration never takes a newer one back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFixture()
+	f.table.Told(change("config/main", 20, plank.Manifest{Version: 7}))
+	f.table.Apply("config/", []plank.Change{change("config/main", 18, plank.Manifest{Version: 6})})
+	f.table.Reset("config/", []plank.Object{object("config/main", 25, plank.Manifest{Version: 5})}, 25, true)
+	assert.Equal(t, f.view.Load().Manifest.Version, plank.ManifestVersion(7))
+}
+
+// Registrations that lapsed while the store was away stay until they can be
+// back, and only then are others told.
+func TestGraceAfterAnOutage(t *testing.T) {
+	f := newFixture()
+	worker := plank.Instance{Service: "s", Addr: "a:1"}
+	f.table.Reset("servers/", []plank.Object{object("servers/e1", 3, worker), object("servers/e2", 4, worker)}, 5, false)
+	f.changed = nil
+	f.table.Reset("servers/", nil, 9, true)
+	assert.Assert(t, f.has("e1") && f.has("e2"))
+	f.clock.now = f.clock.now.Add(time.Second)
+	f.table.Apply("servers/", []plank.Change{change("servers/e2", 11, worker)})
+	f.clock.now = f.clock.now.Add(1500 * time.Millisecond)
+	f.instances.Expire()
+	assert.Assert(t, !f.has("e1") && f.has("e2"))
+	assert.DeepEqual(t, f.changed, []string{"servers/e1"})
+}
+
+// Without an outage a registration that ends is gone at once.
+func TestGoneAtOnce(t *testing.T) {
+	f := newFixture()
+	f.table.Reset("servers/", []plank.Object{object("servers/e1", 3, plank.Instance{Service: "s"})}, 5, false)
+	f.table.Reset("servers/", nil, 9, false)
+	assert.Assert(t, !f.has("e1"))
+}
+
+// Counts of orders are no news for other VMs.
+func TestOnlyNewsIsTold(t *testing.T) {
+	f := newFixture()
+	f.table.Apply("servers/", []plank.Change{change("servers/e1", 3, plank.Instance{Service: "s", Seq: 1})})
+	f.table.Apply("servers/", []plank.Change{change("servers/e1", 4, plank.Instance{Service: "s", Seq: 2})})
+	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, plank.Instance{Service: "s", Seq: 2, Leaving: true})})
+	assert.DeepEqual(t, f.changed, []string{"servers/e1", "servers/e1"})
+}
