Logs that are bounded and explain a request; metrics; missing events noticed from the first on

Metrics are served on the first port that is the system's own. A stream whose second event was missing passed as whole (found by TestExplain); ids that begin at 0 or 1 are now known to rise by one.

--- a/cmd/knapweedplank/entry.go
+++ b/cmd/knapweedplank/entry.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank/internal/logs"
@@ -29,8 +30,8 @@
 	defer out.Close()
 	log := logrus.New()
 	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	n, err := node.New(settings, log)
+	log.SetFormatter(logs.NewSampler(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}))
+	n, err := node.New(settings, log, out.Dropped)
 	if err != nil {
 		return err
 	}
--- a/cmd/knapweedplank/main.go
+++ b/cmd/knapweedplank/main.go
@@ -23,6 +23,7 @@
 type cli struct {
 	Serve    serveCmd         `cmd:"" help:"Run the daemon of an entry VM."`
 	Entry    entryCmd         `cmd:"" help:"Run the daemon on the users' platform."`
+	Explain  explainCmd       `cmd:"" help:"Tell from logs what became of a request."`
 	Note     noteCmd          `cmd:"" help:"Check, apply and follow release notes."`
 	Settings settingsCmd      `cmd:"" help:"Check settings, or print an example."`
 	Key      keyCmd           `cmd:"" help:"Make a caller's key and its hash for a release note."`
--- a/internal/front/flights.go
+++ b/internal/front/flights.go
@@ -94,6 +94,17 @@
 	return b.all[id]
 }
 
+// Left returns the retries that each service has left.
+func (b *Budgets) Left() map[plank.ServiceID]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make(map[plank.ServiceID]float64, len(b.all))
+	for id, budget := range b.all {
+		left[id] = budget.Left()
+	}
+	return left
+}
+
 // SetBurst changes the burst of all budgets.
 func (b *Budgets) SetBurst(burst float64) {
 	b.mu.Lock()
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/grant"
@@ -153,6 +154,7 @@
 	}
 	log := j.log.WithFields(choice.fields())
 	room, err := s.roomOn(ctx, j, choice, r)
+	metrics.GetOrRegisterTimer("Front.RoomWait", s.deps.Metrics).Update(s.deps.Clock.Now().Sub(now))
 	log = log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds())
 	if err != nil {
 		log.WithError(err).Info("front: no room")
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -218,6 +218,7 @@
 
 // ServeReserve answers a peer that asks for room.
 func (d *Desk) ServeReserve(q *wire.ReserveRequest, s *peer.Stream) {
+	asked := d.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	notes := make(chan *wire.ReserveNote, 2)
@@ -254,6 +255,10 @@
 		return
 	}
 	defer t.Release()
+	d.Log.WithFields(logrus.Fields{
+		"request": q.Request, "endpoint": q.Endpoint, "adapter": q.Adapter, "granted": t.Granted, "reason": t.Reason, "version": t.Outcome.Version,
+		"waited_ms": d.Clock.Now().Sub(asked).Milliseconds(),
+	}).Info("grant: settled")
 	replies.settle(&wire.ReserveReply{Granted: t.Granted, Endpoint: q.Endpoint, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
 	if !t.Granted {
 		return
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -107,6 +107,7 @@
 		e = s.servePlain(ctx, j)
 	}
 	s.settle(j, e)
+	s.count(j, e)
 	log = log.WithFields(logrus.Fields{"route": j.route.Name, "sends": j.sends})
 	if !j.first.IsZero() {
 		log = log.WithField("first_ms", j.first.Sub(call.Arrived).Milliseconds())
@@ -259,3 +260,19 @@
 	metrics.GetOrRegisterCounter("Front.Calls."+name, s.deps.Metrics).Inc(1)
 	metrics.GetOrRegisterTimer("Front.Latency", s.deps.Metrics).Update(took)
 }
+
+// count counts a call by the kind of its route and its workspace, and its times.
+func (s *Server) count(j *job, e end) {
+	kind := string(j.route.Kind)
+	metrics.GetOrRegisterCounter("Front.Kind."+kind+"."+e.outcome, s.deps.Metrics).Inc(1)
+	metrics.GetOrRegisterTimer("Front.Latency."+kind, s.deps.Metrics).Update(s.deps.Clock.Now().Sub(j.call.Arrived))
+	if j.workspace != nil {
+		metrics.GetOrRegisterCounter("Front.Workspace."+string(j.workspace.ID)+"."+e.outcome, s.deps.Metrics).Inc(1)
+	}
+	if !j.first.IsZero() {
+		metrics.GetOrRegisterTimer("Front.FirstEvent", s.deps.Metrics).Update(j.first.Sub(j.call.Arrived))
+	}
+	if j.sends > 1 {
+		metrics.GetOrRegisterCounter("Front.Retries."+string(j.service), s.deps.Metrics).Inc(int64(j.sends - 1))
+	}
+}
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -39,6 +39,8 @@
 	// Cold returns the loads from the weight store that other VMs have under
 	// way.
 	Cold func() int
+	// Counted is told the result of each order.
+	Counted func(unload bool, result string)
 	// Loading tells others how many loads from the weight store are under way
 	// here.
 	Loading func(n int)
@@ -200,8 +202,10 @@
 	})
 	if err != nil {
 		log.WithError(err).Warn("grant: order without an answer")
+		k.deps.Counted(o.Unload, "unanswered")
 	} else {
 		log.Info("grant: order")
+		k.deps.Counted(o.Unload, string(result))
 	}
 	if fenced && k.engines[e.inst.ID] == e {
 		k.deps.Fenced(e.inst.Domain, o.Fence.Term)
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -63,6 +63,9 @@
 
 // Write implements io.Writer.
 func (w *Writer) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil // a line that was left out
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -57,6 +57,17 @@
 	return oldest
 }
 
+// newest returns how new the news from the store are, own or told.
+func (r *newsroom) newest() time.Time {
+	newest := r.fresh()
+	for _, p := range r.mesh.Peers() {
+		if p.News.After(newest) {
+			newest = p.News
+		}
+	}
+	return newest
+}
+
 // mustWatch tells whether this VM is to call the store itself.
 func (r *newsroom) mustWatch() bool {
 	now := r.clock.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,8 +92,8 @@
 	running  sync.WaitGroup
 }
 
-// New starts a daemon.
-func New(settings *platform.Settings, log *logrus.Logger) (*Node, error) {
+// New starts a daemon. dropped returns how many lines of its log were lost.
+func New(settings *platform.Settings, log *logrus.Logger, dropped func() uint64) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings, boot: newBoot(), clock: plank.SystemClock{}, cancel: cancel,
@@ -116,7 +116,10 @@
 		return nil, err
 	}
 	n.start(ctx)
-	n.log.WithFields(logrus.Fields{"boot": n.boot, "domain": settings.Domain, "callers": settings.Callers, "bootstrap": settings.Bootstrap}).Info("node: started")
+	go func() { n.observe(ctx, dropped) }()
+	n.log.WithFields(logrus.Fields{
+		"boot": n.boot, "domain": settings.Domain, "callers": settings.Callers, "bootstrap": settings.Bootstrap, "metrics": n.metricsAddr(),
+	}).Info("node: started")
 	return n, nil
 }
 
@@ -181,7 +184,7 @@
 func (n *Node) buildKeeper(ctx context.Context) {
 	n.keeper = grant.NewKeeper(ctx, grant.Deps{
 		Self: n.settings.VM, Operator: platform.NewOperator(n.pool), Evictor: place.Value{}, Clock: n.clock, Log: n.log,
-		Newest: n.newest, Cold: n.peersCold, Loading: n.state.setCold,
+		Newest: n.newest, Cold: n.peersCold, Loading: n.state.setCold, Counted: n.countOrder,
 		InUse: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		Publish: func(id plank.EndpointID, s *wire.EngineState) {
 			n.mesh.SetOwn(id, s)
@@ -199,6 +202,15 @@
 	n.desk = &front.Desk{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
 }
 
+// countOrder counts the results of orders.
+func (n *Node) countOrder(unload bool, result string) {
+	op := "Load."
+	if unload {
+		op = "Unload."
+	}
+	metrics.GetOrRegisterCounter("Orders."+op+result, n.registry).Inc(1)
+}
+
 // newest returns the newest version of an adapter and since when it is known.
 func (n *Node) newest(ref plank.AdapterRef) (plank.VersionNumber, time.Time) {
 	return n.view.Load().Versions[ref], n.known.of(ref)
@@ -258,6 +270,7 @@
 	mux.HandleFunc("GET "+platform.ReadyPath, n.serveReady)
 	n.serve(n.callers, n.entrance)
 	n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, ready)
+	n.serveMetrics()
 	go func() { n.hub.Serve(peers, n) }()
 	return nil
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -174,6 +174,13 @@
 	}
 }
 
+// held returns how many duties this VM has.
+func (s *state) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.duties)
+}
+
 func (s *state) setLeaving() {
 	s.mu.Lock()
 	s.leaving = true
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -25,6 +25,13 @@
 	b.level = min(b.level, burst)
 }
 
+// Left returns the retries that are left.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.level
+}
+
 // Request counts a request, which earns a part of a retry.
 func (b *Budget) Request() {
 	b.mu.Lock()
--- a/internal/sse/order.go
+++ b/internal/sse/order.go
@@ -18,7 +18,9 @@
 type Order struct {
 	last  uint64
 	known bool // last is the id of an event
-	steps int  // events that followed their predecessor by one
+	// byOne is set once ids are known to rise by one: the first is 0 or 1, or
+	// one followed another so.
+	byOne bool
 }
 
 // NewOrder returns the check of a stream whose caller has the event with the
@@ -39,11 +41,12 @@
 	}
 	switch {
 	case !o.known:
+		o.byOne = n <= 1
 	case n <= o.last:
 		return Repeat
 	case n == o.last+1:
-		o.steps++
-	case o.steps > 0:
+		o.byOne = true
+	case o.byOne:
 		return Gap
 	}
 	o.last, o.known = n, true
--- a/internal/stand/model/server.go
+++ b/internal/stand/model/server.go
@@ -97,6 +97,12 @@
 		s.leaving = true
 		s.reportAt = time.Time{}
 	case "/test/crash":
+		// The answer is complete before the crash closes the connection.
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusOK)
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
 		s.crash()
 	default:
 		http.NotFound(w, r)
