Engines that do not answer refuse at once; shorter waits for room

Change: a holder that gets no answer from an engine refuses what waits for it and tells others; a call waits 0.9 s for room on each of two engines.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -80,6 +80,7 @@
 func describe(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
 	e.Running, e.Queued, e.Reading = int(s.Running), int(s.Queued), s.Reading
 	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
+	e.Avoid = e.Avoid || s.Silent
 	e.Places = len(s.Places)
 	name := ref.String()
 	for _, p := range s.Places {
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -18,9 +18,9 @@
 
 const (
 	// maxRooms bounds the engines that are asked for room for one call.
-	maxRooms = 3
+	maxRooms = 2
 	// maxRoomWait is how long a call waits for room on one engine.
-	maxRoomWait = 1500 * time.Millisecond
+	maxRoomWait = 900 * time.Millisecond
 	// maxHolderWait is how long a call waits for any engine's holder; a lease
 	// is taken within it when all VMs have started anew.
 	maxHolderWait = 800 * time.Millisecond
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -157,6 +157,7 @@
 	// any other.
 	unanswered *plank.Order
 	misses     int       // answers missing in a row
+	silent     bool      // the engine does not answer
 	calm       time.Time // until when no adapter is ordered, after a conflict
 	adopted    time.Time // since when this VM orders the engine
 	busy       bool      // an action is in progress
@@ -235,6 +236,8 @@
 			t.settle(Outcome{Reason: "no room in time"})
 		case e.fits(t) && e.serves(t, now):
 			e.admit(t, now)
+		case e.silent:
+			t.settle(Outcome{Reason: "the engine does not answer"})
 		default:
 			waiting = append(waiting, t)
 		}
@@ -336,7 +339,7 @@
 		waiting += t.Prompt
 	}
 	s := &wire.EngineState{
-		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(),
+		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent,
 		Backlog: float64(waiting), Reading: e.readingNow(now) * math.Ln2 / readHalfLife.Seconds(), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -215,6 +215,18 @@
 	}
 }
 
+// Calls do not wait for an engine that does not answer.
+func TestSilentEngineRefusesAtOnce(t *testing.T) {
+	w := newWorld(limits)
+	w.resident[adapter(1)] = 1
+	w.advance(20 * time.Millisecond)
+	w.lose = func() (bool, bool) { return false, true }
+	held, other := w.ask(1, 0), w.ask(2, 0)
+	w.advance(300 * time.Millisecond)
+	assert.Assert(t, held.Settled != nil && held.Settled.Granted)
+	assert.Assert(t, other.Settled != nil && !other.Settled.Granted)
+}
+
 // The most urgent call gets the next free place.
 func TestUrgentCallsGoFirst(t *testing.T) {
 	w := newWorld(grant.Limits{Slots: 1, Memory: 200_000, MaxAdapters: 3, Base: "m"})
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -166,6 +166,7 @@
 		e.repeat(o, now)
 		return false
 	}
+	e.silent = false
 	if result == plank.OrderConflict {
 		e.calm = now.Add(conflictPause)
 		if p := e.places[o.Target.Adapter]; p != nil && o.Unload {
@@ -259,6 +260,7 @@
 	e.unanswered = &o
 	e.misses++
 	if e.misses >= maxMisses {
+		e.silent = true
 		e.doubt(now)
 	}
 	p := e.places[o.Target.Adapter]
@@ -282,7 +284,9 @@
 func (e *Engine) read(s plank.EngineStatus, err error, now time.Time) {
 	e.busy = false
 	e.nextStatus = now.Add(statusEvery)
+	e.silent = err != nil
 	if err != nil {
+		e.known = false
 		e.readAfter = now.Add(basePoll)
 		return
 	}
