Engines whose count of orders was overestimated are ordered again

A check of a load that was not answered was repeated as an order and counted, though engines do not count checks; from then on each report seemed too old. Ruled out: holders (leases held), links (engines answered reports), places. Change: checks are not counted or repeated, a lower count is believed after 0.8 s without orders; counts of granted calls are kept apart from places; a place is closed when its unload is ordered.

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -39,6 +39,9 @@
 	// reportPace is the pause before a state that was too old is read again;
 	// reports lag by some hundred milliseconds.
 	reportPace = 70 * time.Millisecond
+	// maxReportLag is after which time without orders an engine's own count is
+	// right, even if it is lower than thought.
+	maxReportLag = 800 * time.Millisecond
 	// maxMisses is how many orders in a row may go unanswered before the
 	// engine's state is read.
 	maxMisses = 4
@@ -112,9 +115,8 @@
 	ref     plank.AdapterRef
 	state   placeState
 	version plank.VersionNumber // held, or on its way
-	users   int                 // granted tickets
 	uses    float64             // aged count
-	used    time.Time           // when users last changed
+	used    time.Time           // when a call last began or ended on it
 	loaded  time.Time
 	poll    time.Time // when the load is checked next
 	cold    bool      // from the weight store, as far as is known
@@ -153,6 +155,7 @@
 	counted    bool      // seq is the engine's own count
 	readAfter  time.Time // until when the state is not asked for
 	nextStatus time.Time // of a reading without a cause
+	ordersAt   time.Time // of the last order that was accepted
 	// unanswered is the order that was not answered; it is given again before
 	// any other.
 	unanswered *plank.Order
@@ -165,6 +168,9 @@
 
 	queue   []*ticket
 	running map[*ticket]bool
+	// users counts the granted tickets by adapter. They keep the adapter's
+	// place, whatever is thought of the place meanwhile.
+	users   map[plank.AdapterRef]int
 	used    plank.Tokens
 	backlog plank.Tokens // prompts of granted tickets that have not begun
 	reading float64      // aged count of prompt tokens granted
@@ -177,6 +183,7 @@
 		inst: h.Instance, limits: h.Limits, fence: plank.Fence{Holder: deps.Self, Term: h.Term},
 		evictor: deps.Evictor, newest: deps.Newest, inUse: deps.InUse, adopted: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), places: make(map[plank.AdapterRef]*place), running: make(map[*ticket]bool),
+		users: make(map[plank.AdapterRef]int),
 	}
 }
 
@@ -215,8 +222,10 @@
 	e.started(t)
 	delete(e.running, t)
 	e.used -= t.size()
-	if p := e.places[t.Adapter]; p != nil && t.Adapter.Name != "" {
-		p.users = max(0, p.users-1)
+	if e.users[t.Adapter]--; e.users[t.Adapter] <= 0 {
+		delete(e.users, t.Adapter)
+	}
+	if p := e.places[t.Adapter]; p != nil {
 		p.used = now
 	}
 }
@@ -277,7 +286,7 @@
 	if p.version >= newest {
 		return false
 	}
-	return p.users == 0 || now.Sub(since) > versionGrace
+	return e.users[p.ref] == 0 || now.Sub(since) > versionGrace
 }
 
 func (e *Engine) admit(t *ticket, now time.Time) {
@@ -287,8 +296,8 @@
 	e.backlog += t.Prompt
 	e.reading, e.readAt = e.readingNow(now)+float64(t.Prompt), now
 	out := Outcome{Granted: true}
+	e.users[t.Adapter]++
 	if p := e.places[t.Adapter]; p != nil && t.Adapter.Name != "" {
-		p.users++
 		p.uses = p.agedUses(now) + 1
 		p.used = now
 		out.Version = p.version
@@ -344,7 +353,7 @@
 	}
 	for _, p := range e.places {
 		s.Places = append(s.Places, &wire.Place{
-			Adapter: p.ref.String(), Version: uint64(p.version), Users: uint32(p.users), Loading: p.state != resident,
+			Adapter: p.ref.String(), Version: uint64(p.version), Users: uint32(e.users[p.ref]), Loading: p.state != resident,
 		})
 	}
 	slices.SortFunc(s.Places, func(a, b *wire.Place) int {
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 	// be carried out late.
 	lose func() (lost, late bool)
 	held []plank.Order // to be carried out late
+	trace []string // of orders
 	// unloading is told of each unload that is carried out.
 	unloading func(plank.AdapterRef)
 }
@@ -115,10 +117,12 @@
 
 func (w *world) act(a grant.Action) {
 	if a.Status {
+		w.note("status seq %d", w.seq)
 		w.engine.Read(w.status(), w.now)
 		return
 	}
 	lost, late := w.lose()
+	w.note("order %+v lost %v late %v", *a.Order, lost, late)
 	if late {
 		w.held = append(w.held, *a.Order)
 		w.engine.Ordered(*a.Order, "", errors.New("no answer"), w.now)
@@ -132,6 +136,10 @@
 	w.engine.Ordered(*a.Order, result, nil, w.now)
 }
 
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, w.now.Sub(start).String()+" "+fmt.Sprintf(format, args...))
+}
+
 func (w *world) status() plank.EngineStatus {
 	s := plank.EngineStatus{Seq: w.seq, Bases: []plank.BaseID{"m"}}
 	for ref, v := range w.resident {
@@ -314,7 +322,7 @@
 		w.unloading = func(ref plank.AdapterRef) {
 			for call, n := range running {
 				if adapter(n) == ref && call.Settled != nil && call.Settled.Granted {
-					t.Fatalf("%s was unloaded with a call on it", ref)
+					t.Fatalf("%s was unloaded with a call on it:\n%s", ref, strings.Join(w.trace, "\n"))
 				}
 			}
 		}
@@ -323,6 +331,7 @@
 			running[w.ask(n, 0)] = n
 			w.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			if len(w.held) > 0 && rapid.Bool().Draw(t, "late") {
+				w.note("late order %+v", w.held[0])
 				w.carryOut(w.held[0])
 				w.held = w.held[1:]
 			}
@@ -336,8 +345,40 @@
 				}
 			}
 		}
+		// Once all is well again an adapter is loaded in good time.
+		for call := range running {
+			w.engine.End(call, w.now)
+			delete(running, call)
+		}
+		w.lose = func() (bool, bool) { return false, false }
+		last := w.ask(7, 0)
+		w.advance(3 * time.Second)
+		if last.Settled == nil || !last.Settled.Granted {
+			t.Fatalf("no load any more: %+v\n%s", last.Settled, strings.Join(w.trace, "\n"))
+		}
 		if w.most > w.max {
 			t.Fatalf("%d adapters ordered, there are %d places", w.most, w.max)
 		}
 	})
 }
+
+// While the answer to an unload is on its way, no call is granted on the
+// adapter: the engine may be dropping it.
+func TestNoGrantDuringAnUnload(t *testing.T) {
+	w := newWorld(limits)
+	for n := 1; n <= 3; n++ {
+		w.resident[adapter(n)] = 1
+	}
+	w.advance(10 * time.Millisecond)
+	w.ask(4, 0)
+	a, ok := w.engine.Step(w.now, true)
+	assert.Assert(t, ok && a.Order != nil && a.Order.Unload)
+	calls := map[plank.AdapterRef]*grant.TestTicket{}
+	for n := 1; n <= 3; n++ {
+		calls[adapter(n)] = w.ask(n, 0)
+	}
+	w.engine.Step(w.now, true)
+	for ref, call := range calls {
+		assert.Equal(t, call.Settled != nil, ref != a.Order.Target.Adapter, "%s", ref)
+	}
+}
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -79,12 +79,13 @@
 		if p != nil && (p.state != resident || !e.isStale(p, now, t.Version)) {
 			continue
 		}
-		if p != nil && p.users > 0 {
+		if p != nil && e.users[p.ref] > 0 {
 			continue // a replacement would wait for its runs and hold up others
 		}
 		want := e.wanted(t)
 		if p == nil && len(e.places) >= e.limits.MaxAdapters {
 			if victim := e.victim(now); victim != nil {
+				victim.state = doubtful // no call is granted on it any more
 				return e.order(plank.Residency{Adapter: victim.ref}, true)
 			}
 			return nil
@@ -92,6 +93,9 @@
 		if !e.isCached(t.Adapter) && !cold() {
 			return nil
 		}
+		if p != nil {
+			p.state = doubtful // it is replaced
+		}
 		return e.order(want, false)
 	}
 	return nil
@@ -129,7 +133,7 @@
 	var idle []*place
 	var slots []plank.Slot
 	for _, p := range e.places {
-		if p.state != resident || p.users > 0 || e.isAwaited(p.ref) || now.Before(p.keep) {
+		if p.state != resident || e.users[p.ref] > 0 || e.isAwaited(p.ref) || now.Before(p.keep) {
 			continue
 		}
 		if now.Sub(e.adopted) < adoptTime && e.inUse(e.inst.ID, p.ref) {
@@ -167,6 +171,9 @@
 		return false
 	}
 	e.silent = false
+	if result == plank.OrderPending || o.Unload {
+		e.ordersAt = now
+	}
 	if result == plank.OrderConflict {
 		e.calm = now.Add(conflictPause)
 		if p := e.places[o.Target.Adapter]; p != nil && o.Unload {
@@ -257,8 +264,17 @@
 // earlier one is void once the engine has accepted this one. Until then the
 // adapter keeps its place.
 func (e *Engine) repeat(o plank.Order, now time.Time) {
-	e.unanswered = &o
 	e.misses++
+	if p := e.places[o.Target.Adapter]; p != nil && p.state == loading && !o.Unload && p.version == o.Target.Version {
+		// It was a check of a load, which engines do not count.
+		p.poll = now.Add(pollEvery)
+		if e.misses >= maxMisses {
+			e.silent = true
+			e.doubt(now)
+		}
+		return
+	}
+	e.unanswered = &o
 	if e.misses >= maxMisses {
 		e.silent = true
 		e.doubt(now)
@@ -290,7 +306,7 @@
 		e.readAfter = now.Add(basePoll)
 		return
 	}
-	if e.counted && s.Seq < e.seq {
+	if e.counted && s.Seq < e.seq && now.Sub(e.ordersAt) < maxReportLag {
 		e.nextStatus = now.Add(reportPace)
 		e.readAfter = now.Add(reportPace)
 		return
@@ -336,6 +352,9 @@
 		if state == loading {
 			p.poll = now
 		}
+		if e.unanswered != nil && e.unanswered.Target.Adapter == r.Adapter {
+			p.state = doubtful // an unload may still be carried out
+		}
 	}
 	for _, r := range s.Resident {
 		take(r, resident)
@@ -344,7 +363,7 @@
 		take(r, loading)
 	}
 	for ref, p := range e.places {
-		if !seen[ref] && p.users == 0 {
+		if !seen[ref] && e.users[p.ref] == 0 {
 			delete(e.places, ref)
 		}
 	}
