--- a/call.go
+++ b/call.go
@@ -6,17 +6,9 @@
 	"time"
 )
 
-// A Part is a piece of a prompt whose key-value cache engines may share.
-type Part struct {
-	ID     string
-	Tokens Tokens
-}
-
 // A Call is one attempt of a caller, decoded from the caller's protocol.
 type Call struct {
 	ID RequestID
-	// Context ends when the caller leaves.
-	Context context.Context
 	// Method, Host and Target are as sent; Target is path and query.
 	Method string
 	Host   string
@@ -39,9 +31,6 @@
 	Sized          bool
 	// Hint is the caller's estimate of the tokens generated; 0 if none.
 	Hint Tokens
-	// Parts lists the prompt's parts in order; the last belongs to the call or
-	// its session alone.
-	Parts []Part
 	// LastEvent is the id of the last stream event that the caller has. It is
 	// empty if the stream begins.
 	LastEvent string
@@ -69,7 +58,8 @@
 	Abort()
 }
 
-// A CallHandler serves calls. It returns when the answer has ended.
+// A CallHandler serves calls. It returns when the answer has ended. ctx ends when
+// the caller leaves.
 type CallHandler interface {
-	Handle(call *Call, w AnswerWriter)
+	Handle(ctx context.Context, call *Call, w AnswerWriter)
 }
--- a/instance.go
+++ b/instance.go
@@ -64,9 +64,8 @@
 
 // An Order loads or unloads one adapter.
 type Order struct {
-	Unload   bool
-	Target   Residency
-	Expect   uint64 // the number of orders that the engine has accepted
-	Fence    Fence
-	Deadline time.Time
+	Unload bool
+	Target Residency
+	Expect uint64 // the number of orders that the engine has accepted
+	Fence  Fence
 }
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -107,7 +107,7 @@
 // endModel ends a call that could not be served.
 func (s *Server) endModel(ctx context.Context, j *job, p *progress, retry time.Duration) end {
 	switch {
-	case j.call.Context.Err() != nil:
+	case j.left():
 		return end{outcome: outcomeLeft}
 	case p.begun:
 		return end{outcome: outcomeBroken}
@@ -305,7 +305,7 @@
 			return s.endStream(j, p, reply)
 		}
 		if err != nil {
-			if j.call.Context.Err() != nil {
+			if j.left() {
 				return abandoned, err
 			}
 			return broken, err
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -150,7 +150,7 @@
 func (s *Server) classify(j *job, a *attempt) result {
 	var send *plank.SendError
 	switch {
-	case j.call.Context.Err() != nil:
+	case j.left():
 		j.sends++
 		j.ran = true
 		return abandoned
@@ -234,7 +234,7 @@
 
 // answerPlain ends a call with its last attempt's answer.
 func (s *Server) answerPlain(ctx context.Context, j *job, a attempt) end {
-	if j.call.Context.Err() != nil {
+	if j.left() {
 		return end{outcome: outcomeLeft}
 	}
 	switch {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -76,6 +76,8 @@
 	print     plank.Fingerprint
 	// first is when the first event of a stream arrived.
 	first time.Time
+	// left tells whether the caller has left.
+	left func() bool
 	// sends counts the endpoints to which the call was sent.
 	sends int
 	// ran is set when an endpoint may have run the call.
@@ -91,14 +93,15 @@
 }
 
 // Handle implements plank.CallHandler.
-func (s *Server) Handle(call *plank.Call, w plank.AnswerWriter) {
+func (s *Server) Handle(caller context.Context, call *plank.Call, w plank.AnswerWriter) {
 	log := s.deps.Log.WithField("request", call.ID)
 	j, refusal := s.admit(call, w, log)
 	if refusal != nil {
 		s.finish(call, log, s.refuse(w, log, refusal))
 		return
 	}
-	ctx, cancel := context.WithDeadline(call.Context, j.deadline)
+	j.left = func() bool { return caller.Err() != nil }
+	ctx, cancel := context.WithDeadline(caller, j.deadline)
 	defer cancel()
 	var e end
 	if j.pool != nil {
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -52,15 +52,6 @@
 // aliveTime is how long the VM may be silent.
 func (p *Peer) aliveTime() time.Duration { return AliveTime + 2*p.pace }
 
-// An Engine is what the holder of a domain tells of one of its engines.
-type Engine struct {
-	Holder plank.VMID
-	// Address reaches the holder; it is empty for this VM.
-	Address string
-	State   *wire.EngineState
-	Heard   time.Time
-}
-
 // merge takes a message. It returns the usage changes for the caller.
 func (p *Peer) merge(g *wire.Gossip, now time.Time) {
 	if p.Boot != plank.BootID(g.Boot) {
