--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// maxRooms bounds the engines that are asked for room for one call.
-	maxRooms = 2
-	// maxRoomWait is how long a call waits for room on one engine.
-	maxRoomWait = 900 * time.Millisecond
+	// maxReservations bounds the engines that are asked for room for one call.
+	maxReservations = 2
+	// maxReserveWait is how long a call waits for room on one engine.
+	maxReserveWait = 900 * time.Millisecond
 	// maxHolderWait is how long a call waits for any engine's holder; a lease
 	// is taken within it when all VMs have started anew.
 	maxHolderWait = 800 * time.Millisecond
@@ -52,8 +52,8 @@
 	skip := make(map[plank.EndpointID]bool)
 	p := &progress{lastID: j.call.LastEvent, order: sse.NewOrder(j.call.LastEvent)}
 	retry := time.Duration(0)
-	for rooms := 0; rooms < maxRooms; rooms++ {
-		inst, room, err := s.reserve(ctx, j, skip)
+	for n := 0; n < maxReservations; n++ {
+		inst, res, err := s.reserve(ctx, j, skip)
 		if err != nil {
 			retry = err.RetryAfter
 			if inst.ID == "" {
@@ -62,7 +62,7 @@
 			skip[inst.ID] = true
 			continue
 		}
-		r, e := s.tryModel(ctx, j, p, inst, room)
+		r, e := s.tryModel(ctx, j, p, inst, res)
 		if r == served || r == failed || r == abandoned {
 			return e
 		}
@@ -130,11 +130,11 @@
 
 // reserve chooses an engine and gets room on it. The engine is named with the
 // refusal if there was one to ask.
-func (s *Server) reserve(ctx context.Context, j *job, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
+func (s *Server) reserve(ctx context.Context, j *job, skip map[plank.EndpointID]bool) (plank.Instance, Reservation, *plank.RefusalError) {
 	w := j.work()
 	now := s.deps.Clock.Now()
 	w.Target = j.target.Sub(now)
-	until := now.Add(maxRoomWait)
+	until := now.Add(maxReserveWait)
 	if limit := j.deadline.Add(-minRun); limit.Before(until) {
 		until = limit
 	}
@@ -147,44 +147,44 @@
 		return s.reserveAny(ctx, j, w, r, skip)
 	}
 	if !ok {
-		return plank.Instance{}, nil, noRoom("no engine to ask", 0)
+		return plank.Instance{}, nil, noCapacity("no engine to ask", 0)
 	}
 	if now.Add(choice.Expected).After(j.deadline.Add(-minRun)) {
-		return plank.Instance{}, nil, noRoom("no engine in time", choice.Expected/2)
+		return plank.Instance{}, nil, noCapacity("no engine in time", choice.Expected/2)
 	}
 	log := j.log.WithFields(choice.fields())
-	room, err := s.roomOn(ctx, j, choice, r)
-	metrics.GetOrRegisterTimer("Front.RoomWait", s.deps.Metrics).Update(s.deps.Clock.Now().Sub(now))
+	res, err := s.reserveOn(ctx, j, choice, r)
+	metrics.GetOrRegisterTimer("Front.ReserveWait", s.deps.Metrics).Update(s.deps.Clock.Now().Sub(now))
 	log = log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds())
 	if err != nil {
-		log.WithError(err).Info("front: no room")
+		log.WithError(err).Info("front: not reserved")
 		return choice.Engine.Instance, nil, err
 	}
-	log.WithField("version", room.Version()).Info("front: room granted")
-	return choice.Engine.Instance, room, nil
+	log.WithField("version", res.Version()).Info("front: reserved")
+	return choice.Engine.Instance, res, nil
 }
 
 // reserveAny lets a holder choose, in a fleet that is too large for each VM to
 // know all engines. The holder of the own domain is asked first.
-func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request, skip map[plank.EndpointID]bool) (plank.Instance, Room, *plank.RefusalError) {
+func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request, skip map[plank.EndpointID]bool) (plank.Instance, Reservation, *plank.RefusalError) {
 	now := s.deps.Clock.Now()
 	for _, holder := range s.holders(now) {
-		inst, room, err := s.deps.Rooms.ReserveAny(ctx, holder, Wish{Request: r, Service: j.service, Target: w.Target, Skip: s.unfit(j, skip)})
+		inst, res, err := s.deps.Reserver.ReserveAny(ctx, holder, AnyRequest{Request: r, Service: j.service, Target: w.Target, Skip: s.unfit(j, skip)})
 		log := j.log.WithFields(logrus.Fields{
 			"endpoint": inst.ID, "adapter": w.Adapter.String(), "holder": holder, "waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(),
 		})
 		var refusal *plank.RefusalError
 		switch {
 		case err == nil:
-			log.WithField("version", room.Version()).Info("front: room granted")
-			return inst, room, nil
+			log.WithField("version", res.Version()).Info("front: reserved")
+			return inst, res, nil
 		case errors.As(err, &refusal):
-			log.WithError(err).Info("front: no room")
+			log.WithError(err).Info("front: not reserved")
 			return inst, nil, refusal
 		}
 		log.WithError(err).Warn("front: a holder does not answer")
 	}
-	return plank.Instance{}, nil, noRoom("no holder answers", fullRetry)
+	return plank.Instance{}, nil, noCapacity("no holder answers", fullRetry)
 }
 
 // holders returns the addresses of the VMs with duties, the own domain's first.
@@ -214,14 +214,14 @@
 	return out
 }
 
-// roomOn asks an engine's holder for room. If the holder cannot be asked, an
+// reserveOn asks an engine's holder for room. If the holder cannot be asked, an
 // engine that was known to hold the adapter is used without.
-func (s *Server) roomOn(ctx context.Context, j *job, c Choice, r grant.Request) (Room, *plank.RefusalError) {
+func (s *Server) reserveOn(ctx context.Context, j *job, c Choice, r grant.Request) (Reservation, *plank.RefusalError) {
 	var refusal *plank.RefusalError
 	if c.Engine.Known {
-		room, err := s.deps.Rooms.Reserve(ctx, c.State, c.Engine.Instance, r)
+		res, err := s.deps.Reserver.Reserve(ctx, c.State, c.Engine.Instance, r)
 		if err == nil {
-			return room, nil
+			return res, nil
 		}
 		if errors.As(err, &refusal) {
 			return nil, refusal
@@ -229,27 +229,27 @@
 		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
 	}
 	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
-		return freeRoom{version: residentVersion(c.State.State, r.Adapter)}, nil
+		return unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
 	}
-	return nil, noRoom("nobody orders the engine", fullRetry)
+	return nil, noCapacity("nobody orders the engine", fullRetry)
 }
 
-// A freeRoom is used on an engine whose holder is silent.
-type freeRoom struct {
+// A unmanagedReservation is used on an engine whose holder is silent.
+type unmanagedReservation struct {
 	version plank.VersionNumber
 }
 
-// Version implements Room.
-func (f freeRoom) Version() plank.VersionNumber { return f.version }
+// Version implements Reservation.
+func (f unmanagedReservation) Version() plank.VersionNumber { return f.version }
 
-// Began implements Room.
-func (freeRoom) Began() {}
+// Began implements Reservation.
+func (unmanagedReservation) Began() {}
 
-// Missing implements Room.
-func (freeRoom) Missing() {}
+// Missing implements Reservation.
+func (unmanagedReservation) Missing() {}
 
-// Release implements Room.
-func (freeRoom) Release() {}
+// Release implements Reservation.
+func (unmanagedReservation) Release() {}
 
 func residentVersion(s *wire.EngineState, ref plank.AdapterRef) plank.VersionNumber {
 	for _, p := range s.Places {
@@ -261,13 +261,13 @@
 }
 
 // tryModel sends a call to an engine and passes its events on.
-func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, room Room) (result, end) {
-	defer room.Release()
+func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, res Reservation) (result, end) {
+	defer res.Release()
 	s.deps.Flights.Add(inst.ID, j.call.Adapter, 1)
 	defer s.deps.Flights.Add(inst.ID, j.call.Adapter, -1)
 	a := attempt{inst: inst}
 	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
-		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: room.Version(),
+		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: res.Version(),
 		Resume: p.lastID, Urgency: min(maxUrgency, max(0, j.priority)),
 	})
 	var e end
@@ -280,7 +280,7 @@
 	}
 	a.result = s.classify(j, &a)
 	if a.result == served && isStream {
-		a.result, a.err = s.relay(j, p, a.reply, room)
+		a.result, a.err = s.relay(j, p, a.reply, res)
 		e = end{outcome: outcomeServed, status: a.reply.Status}
 	}
 	if a.result == failed {
@@ -290,14 +290,14 @@
 		e = end{outcome: outcomeLeft}
 	}
 	if a.result == rejected && a.reply.Status == 421 {
-		room.Missing()
+		res.Missing()
 	}
 	s.judge(j, &a)
 	return a.result, e
 }
 
 // relay passes events on until the stream ends.
-func (s *Server) relay(j *job, p *progress, reply *plank.Reply, room Room) (result, error) {
+func (s *Server) relay(j *job, p *progress, reply *plank.Reply, res Reservation) (result, error) {
 	events := sse.New(reply.Body)
 	for {
 		ev, err := events.Next()
@@ -319,7 +319,7 @@
 		if !p.begun {
 			p.begun = true
 			j.first = s.deps.Clock.Now()
-			room.Began()
+			res.Began()
 			if err := j.w.Begin(reply.Head); err != nil {
 				return abandoned, err
 			}
--- a/internal/front/room.go
+++ b/internal/front/reserve.go
@@ -15,8 +15,8 @@
 	"knapweedplank.org/plank/internal/wire"
 )
 
-// A Room is leave to send one call to an engine.
-type Room interface {
+// A Reservation is leave to send one call to an engine.
+type Reservation interface {
 	// Version is the adapter version that the engine holds; 0 is not known.
 	Version() plank.VersionNumber
 	// Began records that the first event has arrived.
@@ -27,18 +27,18 @@
 	Release()
 }
 
-// Rooms are asked for room on engines.
-type Rooms interface {
+// A Reserver is asked for room on engines.
+type Reserver interface {
 	// Reserve waits for room until ctx ends. A *plank.RefusalError tells that
 	// there is none, an *plank.UnavailableError that nobody could be asked.
-	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Room, error)
+	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Reservation, error)
 	// ReserveAny lets the holder at an address choose the engine. The engine
-	// that it chose is named with the room, and with a refusal if there was one.
-	ReserveAny(ctx context.Context, addr string, w Wish) (plank.Instance, Room, error)
+	// that it chose is named with the reservation, and with a refusal if there was one.
+	ReserveAny(ctx context.Context, addr string, w AnyRequest) (plank.Instance, Reservation, error)
 }
 
-// A Wish asks for room on any engine of a service.
-type Wish struct {
+// An AnyRequest asks for room on any engine of a service.
+type AnyRequest struct {
 	grant.Request
 	Service plank.ServiceID
 	// Target is the time left until the first token is late.
@@ -46,9 +46,9 @@
 	Skip   []plank.EndpointID
 }
 
-// Desk asks the holder of an engine's domain for room: this VM's keeper, or a
+// A Broker asks the holder of an engine's domain for room: this VM's keeper, or a
 // peer's.
-type Desk struct {
+type Broker struct {
 	Keeper  *grant.Keeper
 	Chooser *Chooser
 	Hub     *peer.Hub
@@ -56,38 +56,38 @@
 	Log     *logrus.Entry
 }
 
-var _ Rooms = (*Desk)(nil)
+var _ Reserver = (*Broker)(nil)
 
-// Reserve implements Rooms.
-func (d *Desk) Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Room, error) {
+// Reserve implements Reserver.
+func (b *Broker) Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Reservation, error) {
 	if e.Address != "" {
-		return d.reserveRemote(ctx, e.Address, inst, r)
+		return b.reserveRemote(ctx, e.Address, inst, r)
 	}
-	t, err := d.Keeper.Reserve(ctx, inst.ID, inst.Born, r)
+	t, err := b.Keeper.Reserve(ctx, inst.ID, inst.Born, r)
 	var notHeld *grant.NotHeldError
 	switch {
 	case errors.As(err, &notHeld):
 		return nil, &plank.UnavailableError{Target: string(inst.ID), Op: "reserve", Err: err}
 	case err != nil:
-		return nil, noRoom("no room in time", 0)
+		return nil, noCapacity("no room in time", 0)
 	case !t.Granted:
-		return nil, noRoom(t.Reason, t.Retry)
+		return nil, noCapacity(t.Reason, t.Retry)
 	}
-	return localRoom{t}, nil
+	return localReservation{t}, nil
 }
 
-func noRoom(reason string, retry time.Duration) *plank.RefusalError {
+func noCapacity(reason string, retry time.Duration) *plank.RefusalError {
 	r := plank.Refuse(plank.CodeNoEndpoint, "%s", reason)
 	r.RetryAfter = retry
 	return r
 }
 
-type localRoom struct {
+type localReservation struct {
 	*grant.Ticket
 }
 
-// Version implements Room.
-func (l localRoom) Version() plank.VersionNumber { return l.Outcome.Version }
+// Version implements Reservation.
+func (l localReservation) Version() plank.VersionNumber { return l.Outcome.Version }
 
 // ackTime is how long a holder may take to tell that a caller waits. One that
 // is cut off is noticed by it.
@@ -96,43 +96,43 @@
 // replyMargin is how much longer than the holder waits its reply may take.
 const replyMargin = 150 * time.Millisecond
 
-func (d *Desk) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (Room, error) {
-	q := request(r, d.Clock.Now())
+func (b *Broker) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (Reservation, error) {
+	q := request(r, b.Clock.Now())
 	q.Endpoint, q.Born = string(inst.ID), inst.Born.UnixMilli()
-	reply, room, err := d.ask(ctx, addr, q)
+	reply, res, err := b.ask(ctx, addr, q)
 	if err != nil {
 		return nil, err
 	}
-	if room == nil {
-		return nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+	if res == nil {
+		return nil, noCapacity(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
 	}
-	return room, nil
+	return res, nil
 }
 
-// ReserveAny implements Rooms. A holder that chose an engine of another one
+// ReserveAny implements Reserver. A holder that chose an engine of another one
 // names that, which is then asked.
-func (d *Desk) ReserveAny(ctx context.Context, addr string, w Wish) (plank.Instance, Room, error) {
-	q := request(w.Request, d.Clock.Now())
+func (b *Broker) ReserveAny(ctx context.Context, addr string, w AnyRequest) (plank.Instance, Reservation, error) {
+	q := request(w.Request, b.Clock.Now())
 	q.Service, q.TargetMicros = string(w.Service), w.Target.Microseconds()
 	for _, id := range w.Skip {
 		q.Skip = append(q.Skip, string(id))
 	}
-	reply, room, err := d.ask(ctx, addr, q)
+	reply, res, err := b.ask(ctx, addr, q)
 	if err != nil {
 		return plank.Instance{}, nil, err
 	}
-	inst, known := d.Chooser.View.Load().Instances[plank.EndpointID(reply.Endpoint)]
+	inst, known := b.Chooser.View.Load().Instances[plank.EndpointID(reply.Endpoint)]
 	switch {
-	case room != nil && known:
-		return inst, room, nil
-	case room != nil:
-		room.Release()
-		return plank.Instance{}, nil, noRoom("the holder chose an engine that is not known here", 0)
+	case res != nil && known:
+		return inst, res, nil
+	case res != nil:
+		res.Release()
+		return plank.Instance{}, nil, noCapacity("the holder chose an engine that is not known here", 0)
 	case reply.Address != "" && known:
-		far, err := d.reserveRemote(ctx, reply.Address, inst, w.Request)
+		far, err := b.reserveRemote(ctx, reply.Address, inst, w.Request)
 		return inst, far, err
 	}
-	return inst, nil, noRoom(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+	return inst, nil, noCapacity(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
 }
 
 // request returns the message for a request.
@@ -144,25 +144,25 @@
 }
 
 // ask sends a request to a holder and waits for the reply that settles it. The
-// room is nil if none was granted.
-func (d *Desk) ask(ctx context.Context, addr string, q *wire.ReserveRequest) (*wire.ReserveReply, Room, error) {
+// reservation is nil if none was granted.
+func (b *Broker) ask(ctx context.Context, addr string, q *wire.ReserveRequest) (*wire.ReserveReply, Reservation, error) {
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
-	s, err := d.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: q}})
+	s, err := b.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: q}})
 	if err != nil {
 		cancel()
 		return nil, nil, err
 	}
 	reply, err := receiveReply(s, time.Duration(q.WaitMicros)*time.Microsecond)
 	if err == nil && reply.Granted {
-		return reply, &remoteRoom{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: d.Log}, nil
+		return reply, &remoteReservation{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: b.Log}, nil
 	}
 	s.Close()
 	cancel()
 	switch {
 	case ctx.Err() != nil:
-		return nil, nil, noRoom("no room in time", 0)
+		return nil, nil, noCapacity("no room in time", 0)
 	case err != nil:
 		return nil, nil, &plank.UnavailableError{Target: "holder " + addr, Op: "reserve", Err: err}
 	}
@@ -186,39 +186,39 @@
 	return reply, s.Receive(reply)
 }
 
-// A remoteRoom is a reservation at a peer; it lasts as long as its stream.
-type remoteRoom struct {
+// A remoteReservation is a reservation at a peer; it lasts as long as its stream.
+type remoteReservation struct {
 	stream  *peer.Stream
 	cancel  context.CancelFunc
 	version plank.VersionNumber
 	log     *logrus.Entry
 }
 
-// Version implements Room.
-func (r *remoteRoom) Version() plank.VersionNumber { return r.version }
+// Version implements Reservation.
+func (r *remoteReservation) Version() plank.VersionNumber { return r.version }
 
-// Began implements Room.
-func (r *remoteRoom) Began() { r.note(&wire.ReserveNote{Began: true}) }
+// Began implements Reservation.
+func (r *remoteReservation) Began() { r.note(&wire.ReserveNote{Began: true}) }
 
-// Missing implements Room.
-func (r *remoteRoom) Missing() { r.note(&wire.ReserveNote{Missing: true}) }
+// Missing implements Reservation.
+func (r *remoteReservation) Missing() { r.note(&wire.ReserveNote{Missing: true}) }
 
-func (r *remoteRoom) note(n *wire.ReserveNote) {
+func (r *remoteReservation) note(n *wire.ReserveNote) {
 	if err := r.stream.Send(n); err != nil {
 		// The holder counts the call as ended; engines finish what runs.
 		r.log.WithError(err).Info("front: the holder of a room is gone")
 	}
 }
 
-// Release implements Room.
-func (r *remoteRoom) Release() {
+// Release implements Reservation.
+func (r *remoteReservation) Release() {
 	r.stream.Close()
 	r.cancel()
 }
 
 // ServeReserve answers a peer that asks for room.
-func (d *Desk) ServeReserve(q *wire.ReserveRequest, s *peer.Stream) {
-	asked := d.Clock.Now()
+func (b *Broker) ServeReserve(q *wire.ReserveRequest, s *peer.Stream) {
+	asked := b.Clock.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	notes := make(chan *wire.ReserveNote, 2)
@@ -233,21 +233,21 @@
 			notes <- n
 		}
 	}()
-	replies := &replier{desk: d, stream: s}
+	replies := &replier{broker: b, stream: s}
 	queued := time.AfterFunc(ackTime/5, replies.queued)
 	defer queued.Stop()
 	r := grant.Request{
 		ID: plank.RequestID(q.Request), Adapter: plank.ParseAdapterRef(q.Adapter), Version: plank.VersionNumber(q.Version),
 		Prompt: plank.Tokens(q.Prompt), Output: plank.Tokens(q.Output), Priority: int(q.Priority),
-		Deadline: d.Clock.Now().Add(time.Duration(q.WaitMicros) * time.Microsecond),
+		Deadline: b.Clock.Now().Add(time.Duration(q.WaitMicros) * time.Microsecond),
 	}
 	if q.Endpoint == "" {
-		if elsewhere := d.choose(q, r); elsewhere != nil {
+		if elsewhere := b.choose(q, r); elsewhere != nil {
 			replies.settle(elsewhere)
 			return
 		}
 	}
-	t, err := d.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), r)
+	t, err := b.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), r)
 	if err != nil {
 		if ctx.Err() == nil {
 			replies.settle(&wire.ReserveReply{Reason: err.Error()})
@@ -255,9 +255,9 @@
 		return
 	}
 	defer t.Release()
-	d.Log.WithFields(logrus.Fields{
+	b.Log.WithFields(logrus.Fields{
 		"request": q.Request, "endpoint": q.Endpoint, "adapter": q.Adapter, "granted": t.Granted, "reason": t.Reason, "version": t.Outcome.Version,
-		"waited_ms": d.Clock.Now().Sub(asked).Milliseconds(),
+		"waited_ms": b.Clock.Now().Sub(asked).Milliseconds(),
 	}).Info("grant: settled")
 	replies.settle(&wire.ReserveReply{Granted: t.Granted, Endpoint: q.Endpoint, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
 	if !t.Granted {
@@ -275,22 +275,22 @@
 
 // choose fills in the engine of a request that leaves it open. It returns the
 // reply if the engine is another holder's or there is none.
-func (d *Desk) choose(q *wire.ReserveRequest, r grant.Request) *wire.ReserveReply {
+func (b *Broker) choose(q *wire.ReserveRequest, r grant.Request) *wire.ReserveReply {
 	skip := make(map[plank.EndpointID]bool, len(q.Skip))
 	for _, id := range q.Skip {
 		skip[plank.EndpointID(id)] = true
 	}
 	service := plank.ServiceID(q.Service)
-	pool := d.Chooser.View.Load().Pool(service)
+	pool := b.Chooser.View.Load().Pool(service)
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
 	w := pick.Work{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: time.Duration(q.TargetMicros) * time.Microsecond}
-	c, ok := d.Chooser.Choose(service, pool, w, func(id plank.EndpointID) bool { return skip[id] })
+	c, ok := b.Chooser.Choose(service, pool, w, func(id plank.EndpointID) bool { return skip[id] })
 	if !ok || !c.Engine.Known {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: fullRetry.Microseconds()}
 	}
-	if d.Clock.Now().Add(c.Expected / 2).After(r.Deadline) {
+	if b.Clock.Now().Add(c.Expected / 2).After(r.Deadline) {
 		return &wire.ReserveReply{Reason: "no engine in time", RetryMicros: (c.Expected / 2).Microseconds()}
 	}
 	q.Endpoint, q.Born = string(c.Engine.Instance.ID), c.Engine.Instance.Born.UnixMilli()
@@ -302,7 +302,7 @@
 
 // A replier sends the replies to one reservation in order.
 type replier struct {
-	desk *Desk
+	broker *Broker
 
 	mu      sync.Mutex
 	stream  *peer.Stream
@@ -330,6 +330,6 @@
 // The lock is held.
 func (r *replier) send(m *wire.ReserveReply) {
 	if err := r.stream.Send(m); err != nil {
-		r.desk.Log.WithError(err).Info("front: a peer that asked for room is gone")
+		r.broker.Log.WithError(err).Info("front: a peer that asked for room is gone")
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -29,17 +29,17 @@
 
 // Deps are what a server works with.
 type Deps struct {
-	Domain  plank.DomainID
-	View    *view.Holder
-	Mesh    *mesh.Mesh
-	Rooms   Rooms
-	Chooser *Chooser
-	Tally   *limit.Tally
-	Budgets *Budgets
-	Health  *health.Table
-	Poison  *poison.Table
-	Flights *Flights
-	Sender  plank.Sender
+	Domain   plank.DomainID
+	View     *view.Holder
+	Mesh     *mesh.Mesh
+	Reserver Reserver
+	Chooser  *Chooser
+	Tally    *limit.Tally
+	Budgets  *Budgets
+	Health   *health.Table
+	Poison   *poison.Table
+	Flights  *Flights
+	Sender   plank.Sender
 	// Ends returns when the process ends, once it takes no more long calls;
 	// else it returns the zero time.
 	Ends func() time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,14 +73,14 @@
 	tally   *limit.Tally
 	budgets *front.Budgets
 	poison  *poison.Table
-	desk    *front.Desk
+	broker  *front.Broker
 	chooser *front.Chooser
 	health  *health.Table
 	duties  *dutyLoop
 	state   *state
 	known   releaseTimes
 	table   *watch.Table
-	news    *newsroom
+	news    *watchPolicy
 
 	cancel   context.CancelFunc
 	callers  *http.Server
@@ -147,7 +147,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.news = &newsroom{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock}
+	n.news = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock}
 	n.state.table, n.state.news, n.state.clock = n.table, n.news, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.tally = limit.NewTally(n.clock, n.settings.Bootstrap, n.state.stamp)
@@ -196,7 +196,7 @@
 	})
 	n.health = health.New(n.clock)
 	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health}
-	n.desk = &front.Desk{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
+	n.broker = &front.Broker{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
 }
 
 // countOrder counts the results of orders.
@@ -254,7 +254,7 @@
 		return err
 	}
 	server := front.New(front.Deps{
-		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Rooms: n.desk, Chooser: n.chooser, Tally: n.tally, Budgets: n.budgets,
+		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Tally: n.tally, Budgets: n.budgets,
 		Health: n.health, Poison: n.poison, Flights: n.state.flights, Sender: platform.NewSender(n.pool, n.clock),
 		Ends: n.endsAt, Crashed: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
@@ -351,7 +351,7 @@
 	case *wire.Call_Gossip:
 		n.mesh.Serve(body.Gossip, s)
 	case *wire.Call_Reserve:
-		n.desk.ServeReserve(body.Reserve, s)
+		n.broker.ServeReserve(body.Reserve, s)
 	default:
 		n.log.Warn("node: a peer made a call that is not known")
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -23,7 +23,7 @@
 	flights *front.Flights
 	poison  *poison.Table
 	table   *watch.Table
-	news    *newsroom
+	news    *watchPolicy
 	clock   plank.Clock
 	peers   func() int // how many VMs are known
 
--- a/internal/node/news.go
+++ b/internal/node/watcher.go
@@ -24,9 +24,9 @@
 	smallFleet = 16
 )
 
-// A newsroom decides whether this VM calls the store, or lives on what its
+// A watchPolicy decides whether this VM calls the store, or lives on what its
 // peers tell.
-type newsroom struct {
+type watchPolicy struct {
 	self   plank.VMID
 	mesh   *mesh.Mesh
 	domain plank.DomainID
@@ -37,7 +37,7 @@
 }
 
 // add takes a loop that follows the store.
-func (r *newsroom) add(l *watch.Loop) {
+func (r *watchPolicy) add(l *watch.Loop) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.loops = append(r.loops, l)
@@ -45,7 +45,7 @@
 
 // fresh returns when this VM last had an answer to each of its watches; the
 // zero time if it does not watch.
-func (r *newsroom) fresh() time.Time {
+func (r *watchPolicy) fresh() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var oldest time.Time
@@ -58,7 +58,7 @@
 }
 
 // newest returns how new the news from the store are, own or told.
-func (r *newsroom) newest() time.Time {
+func (r *watchPolicy) newest() time.Time {
 	newest := r.fresh()
 	for _, p := range r.mesh.Peers() {
 		if p.News.After(newest) {
@@ -69,7 +69,7 @@
 }
 
 // mustWatch tells whether this VM is to call the store itself.
-func (r *newsroom) mustWatch() bool {
+func (r *watchPolicy) mustWatch() bool {
 	now := r.clock.Now()
 	alive := []plank.VMID{r.self}
 	newest := time.Time{}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -62,8 +62,8 @@
 	if fields["request"] != s.Request {
 		return
 	}
-	l := Line{VM: text1(fields["vm"]), Message: text1(fields["msg"]), Fields: fields, order: order}
-	at, err := time.Parse(time.RFC3339Nano, text1(fields["time"]))
+	l := Line{VM: stringOf(fields["vm"]), Message: stringOf(fields["msg"]), Fields: fields, order: order}
+	at, err := time.Parse(time.RFC3339Nano, stringOf(fields["time"]))
 	if err != nil {
 		s.Bad++
 	}
@@ -74,7 +74,7 @@
 	s.Lines = append(s.Lines, l)
 }
 
-func text1(v any) string {
+func stringOf(v any) string {
 	t, _ := v.(string) // anything else counts as missing
 	return t
 }
