--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -49,8 +49,8 @@
 	// runWeight weighs the time that an answer takes to generate; disturbWeight
 	// weighs the time that the prompt takes from each running answer. Together
 	// they keep long prompts and long answers on different engines.
-	runWeight     = 0.1
-	disturbWeight = 0.1
+	runWeight     = 0.2
+	disturbWeight = 0.2
 	maxDisturbed  = 16
 	// queueCost is what each call that waits for room adds.
 	queueCost = 40 * time.Millisecond
