Engines without a base model are told, and get calls only when no other engine is sooner

Ruled out: a crash of the engine (its first state was read with no base model and 0 orders). Change: the state says so, and the choice adds the load time of the base model. Tests: grant TestBareEnginesAreTold, pick TestBestEngine.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -54,7 +54,7 @@
 		state, alive := c.Mesh.Engine(inst.ID)
 		choice.Informed = choice.Informed || state.State != nil
 		e := pick.Engine{
-			Instance: inst, MaxPlaces: pool.MaxAdapters, Slots: pool.Slots, Memory: pool.Memory,
+			Instance: inst, BaseLoad: pool.BaseLoad(w.Adapter.Base), MaxPlaces: pool.MaxAdapters, Slots: pool.Slots, Memory: pool.Memory,
 			FailRate: c.Health.FailRate(inst.ID), Avoid: c.Health.IsAvoided(inst.ID), Far: inst.Domain != c.Domain,
 		}
 		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
@@ -81,6 +81,7 @@
 	e.Running, e.Queued, e.Reading = int(s.Running), int(s.Queued), s.Reading
 	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
 	e.Avoid = e.Avoid || s.Silent
+	e.Bare = s.Bare
 	e.Places = len(s.Places)
 	name := ref.String()
 	for _, p := range s.Places {
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -348,7 +348,7 @@
 		waiting += t.Prompt
 	}
 	s := &wire.EngineState{
-		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent,
+		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.counted && len(e.bases) == 0,
 		Backlog: float64(waiting), Reading: e.readingNow(now) * math.Ln2 / readHalfLife.Seconds(), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -37,6 +37,7 @@
 	most     int // adapters ordered or held at once
 	unloads  []plank.AdapterRef
 	cold     bool
+	baseAt   time.Time // when the base model is loaded
 	// lose decides what becomes of an order: its answer may be lost, and it may
 	// be carried out late.
 	lose  func() (lost, late bool)
@@ -71,6 +72,10 @@
 // carryOut is the model engine's side of an order.
 func (w *world) carryOut(o plank.Order) plank.OrderResult {
 	ref := o.Target.Adapter
+	if ref.Name == "" && w.now.Before(w.baseAt) {
+		w.seq++
+		return plank.OrderPending
+	}
 	_, arriving := w.arriving[ref]
 	version, held := w.resident[ref]
 	if !o.Unload && arriving {
@@ -141,7 +146,10 @@
 }
 
 func (w *world) status() plank.EngineStatus {
-	s := plank.EngineStatus{Seq: w.seq, Bases: []plank.BaseID{"m"}}
+	s := plank.EngineStatus{Seq: w.seq}
+	if !w.now.Before(w.baseAt) {
+		s.Bases = []plank.BaseID{"m"}
+	}
 	for ref, v := range w.resident {
 		s.Resident = append(s.Resident, plank.Residency{Adapter: ref, Version: v})
 	}
@@ -169,6 +177,17 @@
 	assert.Equal(t, len(w.resident), 1)
 }
 
+// An engine that has just started tells that it holds no base model until it
+// does, so that no call is placed there meanwhile if there is another engine.
+func TestBareEnginesAreTold(t *testing.T) {
+	w := newWorld(limits)
+	w.baseAt = start.Add(1900 * time.Millisecond)
+	w.advance(300 * time.Millisecond)
+	assert.Assert(t, w.engine.State(w.now).Bare)
+	w.advance(2 * time.Second)
+	assert.Assert(t, !w.engine.State(w.now).Bare)
+}
+
 // An idle place is taken at once; one whose adapter runs is kept.
 func TestOnlyIdlePlacesAreTaken(t *testing.T) {
 	w := newWorld(limits)
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/wire"
 )
 
 // This file gives the tests access to an Engine without a Keeper.
@@ -41,3 +42,6 @@
 
 // Read takes the engine's state.
 func (e *Engine) Read(s plank.EngineStatus, now time.Time) { e.read(s, nil, now) }
+
+// State returns what other VMs are told.
+func (e *Engine) State(now time.Time) *wire.EngineState { return e.state(now) }
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -61,6 +61,10 @@
 	Instance plank.Instance
 	// Known is set when its holder tells its state.
 	Known bool
+	// Bare is set while the engine holds no base model, which takes BaseLoad at
+	// most to load.
+	Bare     bool
+	BaseLoad time.Duration
 	// Resident, Stale and Loading tell how the engine has the adapter.
 	Resident, Stale, Loading bool
 	// Lately is set when the engine held the adapter so lately that it loads
@@ -96,6 +100,9 @@
 	if e.Far {
 		d += farCost
 	}
+	if e.Bare {
+		d += e.BaseLoad
+	}
 	if e.Running >= e.Slots || e.Used+w.Prompt+w.Output > e.Memory && e.Running > 0 {
 		d += placeWait
 	}
--- a/manifest.go
+++ b/manifest.go
@@ -83,12 +83,24 @@
 	Bases []BaseModel
 }
 
+// BaseLoad returns how long an engine takes to load a base model, at most.
+func (p *EnginePool) BaseLoad(id BaseID) time.Duration {
+	for _, b := range p.Bases {
+		if b.ID == id {
+			return b.LoadTime
+		}
+	}
+	return 0
+}
+
 // A BaseModel is the weights that adapters refine.
 type BaseModel struct {
 	ID BaseID
 	// Adapters counts the adapters, named a1 and so on.
 	Adapters  int
 	WeightsMB float64
+	// LoadTime is how long a load from the weight store takes.
+	LoadTime time.Duration
 }
 
 // A Workspace is a tenant of the fleet.
