Choice: waits for places by the turn behind the adapters that wait already

Calls flocked to one engine and 147 waited 0.9 s in vain. Ruled out: messages that are out of date (the states told did list the queue).

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -81,7 +81,7 @@
 	e.Running, e.Queued, e.Reading = int(s.Running), int(s.Queued), s.Reading
 	e.Backlog, e.Used = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
 	e.Avoid = e.Avoid || s.Silent
-	e.Bare = s.Bare
+	e.Bare, e.Wanted = s.Bare, int(s.Wanted)
 	e.Places = len(s.Places)
 	name := ref.String()
 	for _, p := range s.Places {
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -348,7 +348,7 @@
 		waiting += t.Prompt
 	}
 	s := &wire.EngineState{
-		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.counted && len(e.bases) == 0,
+		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.counted && len(e.bases) == 0, Wanted: uint32(e.wantedPlaces()),
 		Backlog: float64(waiting), Reading: e.readingNow(now) * math.Ln2 / readHalfLife.Seconds(), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
@@ -365,6 +365,17 @@
 	return s
 }
 
+// wantedPlaces counts the adapters that tickets wait for without a place.
+func (e *Engine) wantedPlaces() int {
+	seen := make(map[plank.AdapterRef]bool)
+	for _, t := range e.queue {
+		if t.Adapter.Name != "" && e.places[t.Adapter] == nil {
+			seen[t.Adapter] = true
+		}
+	}
+	return len(seen)
+}
+
 // fail settles all that waits, when the engine is given up.
 func (e *Engine) fail(reason string) {
 	for _, t := range e.queue {
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -20,9 +20,12 @@
 	coldLoad = 250 * time.Millisecond
 	// evictTime is what an unload before a load costs.
 	evictTime = 5 * time.Millisecond
-	// placeWait is how long it takes, about, until a place is free where all
-	// are in use.
-	placeWait = 1500 * time.Millisecond
+	// placeHold is how long a call keeps its adapter's place, about: a place
+	// becomes free every placeHold divided by the places of an engine.
+	placeHold = 1500 * time.Millisecond
+	// fullWait is how long it takes, about, until a full batch or memory has
+	// room.
+	fullWait = 1500 * time.Millisecond
 	// staleWait is how long it takes, about, until the runs on an old version
 	// have ended.
 	staleWait = 800 * time.Millisecond
@@ -73,13 +76,15 @@
 	// Places and Idle count the places for adapters that are taken, and those
 	// of them that are idle; MaxPlaces is how many there are.
 	Places, Idle, MaxPlaces int
-	Running, Queued, Slots  int
-	Backlog                 plank.Tokens // prompts not yet read
-	Reading                 float64      // prompt tokens a second, lately
-	Used, Memory            plank.Tokens
-	FailRate                float64
-	Avoid                   bool
-	Far                     bool
+	// Wanted counts the adapters that calls wait for without a place.
+	Wanted                 int
+	Running, Queued, Slots int
+	Backlog                plank.Tokens // prompts not yet read
+	Reading                float64      // prompt tokens a second, lately
+	Used, Memory           plank.Tokens
+	FailRate               float64
+	Avoid                  bool
+	Far                    bool
 }
 
 // A Work is the call that an engine is chosen for.
@@ -104,7 +109,7 @@
 		d += e.BaseLoad
 	}
 	if e.Running >= e.Slots || e.Used+w.Prompt+w.Output > e.Memory && e.Running > 0 {
-		d += placeWait
+		d += fullWait
 	}
 	if w.Adapter.Name != "" {
 		d += loadTime(e)
@@ -125,13 +130,21 @@
 	if e.Lately {
 		d = warmLoad
 	}
-	if e.Places >= e.MaxPlaces {
-		if e.Idle == 0 {
-			return d + placeWait
-		}
-		d += evictTime
+	return d + placeTime(e)
+}
+
+// placeTime returns how long a call waits for a place, in its turn behind the
+// adapters that wait for one already.
+func placeTime(e *Engine) time.Duration {
+	free := e.MaxPlaces - e.Places
+	turn := e.Wanted + 1
+	switch {
+	case turn <= free:
+		return 0
+	case turn <= free+e.Idle:
+		return evictTime
 	}
-	return d
+	return time.Duration(turn-free-e.Idle) * placeHold / time.Duration(max(1, e.MaxPlaces))
 }
 
 // Cost returns the expected time to the first token with what makes an engine
