Calls that wait move to an engine of the same holder that has room; idle places are taken at once

Cause: a call was bound to the engine that seemed soonest when it arrived. Long answers keep places for seconds, so it waited while places elsewhere became free; an idle adapter that had been loaded within two seconds also kept its place from calls that waited. Calls also go on elsewhere when their engine leaves or starts anew. Tests: grant TestCallsMoveToEnginesWithRoom, TestCallsDoNotMoveWithoutRoom, TestCallsDoNotMoveToWhereTheyFailed.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -140,11 +140,11 @@
 	}
 	r := grant.Request{
 		ID: j.call.ID, Adapter: w.Adapter, Version: j.view.Versions[w.Adapter], Prompt: w.Prompt, Output: w.Output,
-		Priority: j.priority, Deadline: until,
+		Priority: j.priority, Target: j.target, Deadline: until, Skip: s.unfit(j, skip),
 	}
 	choice, ok := s.deps.Chooser.Choose(j.service, j.pool, w, func(id plank.EndpointID) bool { return skip[id] })
 	if !choice.Informed {
-		return s.reserveAny(ctx, j, w, r, skip)
+		return s.reserveAny(ctx, j, w, r)
 	}
 	if !ok {
 		return plank.Instance{}, nil, noCapacity("no engine to ask", 0)
@@ -153,23 +153,23 @@
 		return plank.Instance{}, nil, noCapacity("no engine in time", choice.Expected/2)
 	}
 	log := j.log.WithFields(choice.fields())
-	res, err := s.reserveOn(ctx, j, choice, r)
+	inst, res, err := s.reserveOn(ctx, j, choice, r)
 	metrics.GetOrRegisterTimer("Front.ReserveWait", s.deps.Metrics).Update(s.deps.Clock.Now().Sub(now))
 	log = log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds())
 	if err != nil {
 		log.WithError(err).Info("front: not reserved")
 		return choice.Engine.Instance, nil, err
 	}
-	log.WithField("version", res.Version()).Info("front: reserved")
-	return choice.Engine.Instance, res, nil
+	log.WithFields(logrus.Fields{"version": res.Version(), "granted_on": inst.ID}).Info("front: reserved")
+	return inst, res, nil
 }
 
 // reserveAny lets a holder choose, in a fleet that is too large for each VM to
 // know all engines. The holder of the own domain is asked first.
-func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request, skip map[plank.EndpointID]bool) (plank.Instance, Reservation, *plank.RefusalError) {
+func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request) (plank.Instance, Reservation, *plank.RefusalError) {
 	now := s.deps.Clock.Now()
 	for _, holder := range s.holders(now) {
-		inst, res, err := s.deps.Reserver.ReserveAny(ctx, holder, AnyRequest{Request: r, Service: j.service, Target: w.Target, Skip: s.unfit(j, skip)})
+		inst, res, err := s.deps.Reserver.ReserveAny(ctx, holder, AnyRequest{Request: r, Service: j.service})
 		log := j.log.WithFields(logrus.Fields{
 			"endpoint": inst.ID, "adapter": w.Adapter.String(), "holder": holder, "waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(),
 		})
@@ -216,22 +216,22 @@
 
 // reserveOn asks an engine's holder for room. If the holder cannot be asked, an
 // engine that was known to hold the adapter is used without.
-func (s *Server) reserveOn(ctx context.Context, j *job, c Choice, r grant.Request) (Reservation, *plank.RefusalError) {
+func (s *Server) reserveOn(ctx context.Context, j *job, c Choice, r grant.Request) (plank.Instance, Reservation, *plank.RefusalError) {
 	var refusal *plank.RefusalError
 	if c.Engine.Known {
-		res, err := s.deps.Reserver.Reserve(ctx, c.State, c.Engine.Instance, r)
+		inst, res, err := s.deps.Reserver.Reserve(ctx, c.State, c.Engine.Instance, r)
 		if err == nil {
-			return res, nil
+			return inst, res, nil
 		}
 		if errors.As(err, &refusal) {
-			return nil, refusal
+			return inst, nil, refusal
 		}
 		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
 	}
 	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
-		return unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
+		return c.Engine.Instance, unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
 	}
-	return nil, noCapacity("nobody orders the engine", fullRetry)
+	return c.Engine.Instance, nil, noCapacity("nobody orders the engine", fullRetry)
 }
 
 // A unmanagedReservation is used on an engine whose holder is silent.
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +30,10 @@
 
 // A Reserver is asked for room on engines.
 type Reserver interface {
-	// Reserve waits for room until ctx ends. A *plank.RefusalError tells that
+	// Reserve waits for room until ctx ends. The engine that has it is named,
+	// which need not be the one asked for. A *plank.RefusalError tells that
 	// there is none, an *plank.UnavailableError that nobody could be asked.
-	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Reservation, error)
+	Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (plank.Instance, Reservation, error)
 	// ReserveAny lets the holder at an address choose the engine. The engine
 	// that it chose is named with the reservation, and with a refusal if there was one.
 	ReserveAny(ctx context.Context, addr string, w AnyRequest) (plank.Instance, Reservation, error)
@@ -41,9 +43,6 @@
 type AnyRequest struct {
 	grant.Request
 	Service plank.ServiceID
-	// Target is the time left until the first token is late.
-	Target time.Duration
-	Skip   []plank.EndpointID
 }
 
 // A Broker asks the holder of an engine's domain for room: this VM's keeper, or a
@@ -59,7 +58,7 @@
 var _ Reserver = (*Broker)(nil)
 
 // Reserve implements Reserver.
-func (b *Broker) Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (Reservation, error) {
+func (b *Broker) Reserve(ctx context.Context, e mesh.Engine, inst plank.Instance, r grant.Request) (plank.Instance, Reservation, error) {
 	if e.Address != "" {
 		return b.reserveRemote(ctx, e.Address, inst, r)
 	}
@@ -67,13 +66,13 @@
 	var notHeld *grant.NotHeldError
 	switch {
 	case errors.As(err, &notHeld):
-		return nil, &plank.UnavailableError{Target: string(inst.ID), Op: "reserve", Err: err}
+		return inst, nil, &plank.UnavailableError{Target: string(inst.ID), Op: "reserve", Err: err}
 	case err != nil:
-		return nil, noCapacity("no room in time", 0)
+		return inst, nil, noCapacity("no room in time", 0)
 	case !t.Granted:
-		return nil, noCapacity(t.Reason, t.Retry)
+		return inst, nil, noCapacity(t.Reason, t.Retry)
 	}
-	return localReservation{t}, nil
+	return t.Instance, localReservation{t}, nil
 }
 
 func noCapacity(reason string, retry time.Duration) *plank.RefusalError {
@@ -96,51 +95,59 @@
 // replyMargin is how much longer than the holder waits its reply may take.
 const replyMargin = 150 * time.Millisecond
 
-func (b *Broker) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (Reservation, error) {
+func (b *Broker) reserveRemote(ctx context.Context, addr string, inst plank.Instance, r grant.Request) (plank.Instance, Reservation, error) {
 	q := request(r, b.Clock.Now())
 	q.Endpoint, q.Born = string(inst.ID), inst.Born.UnixMilli()
 	reply, res, err := b.ask(ctx, addr, q)
 	if err != nil {
-		return nil, err
+		return inst, nil, err
 	}
 	if res == nil {
-		return nil, noCapacity(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+		return inst, nil, noCapacity(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
+	}
+	return b.granted(reply, res)
+}
+
+// granted returns the engine that a holder granted room on.
+func (b *Broker) granted(reply *wire.ReserveReply, res Reservation) (plank.Instance, Reservation, error) {
+	inst, known := b.Chooser.View.Load().Instances[plank.EndpointID(reply.Endpoint)]
+	if !known {
+		res.Release()
+		return plank.Instance{}, nil, noCapacity("the holder chose an engine that is not known here", 0)
 	}
-	return res, nil
+	return inst, res, nil
 }
 
 // ReserveAny implements Reserver. A holder that chose an engine of another one
 // names that, which is then asked.
 func (b *Broker) ReserveAny(ctx context.Context, addr string, w AnyRequest) (plank.Instance, Reservation, error) {
 	q := request(w.Request, b.Clock.Now())
-	q.Service, q.TargetMicros = string(w.Service), w.Target.Microseconds()
-	for _, id := range w.Skip {
-		q.Skip = append(q.Skip, string(id))
-	}
+	q.Service = string(w.Service)
 	reply, res, err := b.ask(ctx, addr, q)
 	if err != nil {
 		return plank.Instance{}, nil, err
 	}
+	if res != nil {
+		return b.granted(reply, res)
+	}
 	inst, known := b.Chooser.View.Load().Instances[plank.EndpointID(reply.Endpoint)]
-	switch {
-	case res != nil && known:
-		return inst, res, nil
-	case res != nil:
-		res.Release()
-		return plank.Instance{}, nil, noCapacity("the holder chose an engine that is not known here", 0)
-	case reply.Address != "" && known:
-		far, err := b.reserveRemote(ctx, reply.Address, inst, w.Request)
-		return inst, far, err
+	if reply.Address != "" && known {
+		return b.reserveRemote(ctx, reply.Address, inst, w.Request)
 	}
 	return inst, nil, noCapacity(reply.Reason, time.Duration(reply.RetryMicros)*time.Microsecond)
 }
 
 // request returns the message for a request.
 func request(r grant.Request, now time.Time) *wire.ReserveRequest {
-	return &wire.ReserveRequest{
+	q := &wire.ReserveRequest{
 		Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version), Prompt: float64(r.Prompt), Output: float64(r.Output),
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
+		TargetMicros: r.Target.Sub(now).Microseconds(),
+	}
+	for _, id := range r.Skip {
+		q.Skip = append(q.Skip, string(id))
 	}
+	return q
 }
 
 // ask sends a request to a holder and waits for the reply that settles it. The
@@ -236,10 +243,14 @@
 	replies := &replier{broker: b, stream: s}
 	queued := time.AfterFunc(ackTime/5, replies.queued)
 	defer queued.Stop()
+	now := b.Clock.Now()
 	r := grant.Request{
 		ID: plank.RequestID(q.Request), Adapter: plank.ParseAdapterRef(q.Adapter), Version: plank.VersionNumber(q.Version),
 		Prompt: plank.Tokens(q.Prompt), Output: plank.Tokens(q.Output), Priority: int(q.Priority),
-		Deadline: b.Clock.Now().Add(time.Duration(q.WaitMicros) * time.Microsecond),
+		Target: now.Add(time.Duration(q.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(q.WaitMicros) * time.Microsecond),
+	}
+	for _, id := range q.Skip {
+		r.Skip = append(r.Skip, plank.EndpointID(id))
 	}
 	if q.Endpoint == "" {
 		if elsewhere := b.choose(q, r); elsewhere != nil {
@@ -256,10 +267,10 @@
 	}
 	defer t.Release()
 	b.Log.WithFields(logrus.Fields{
-		"request": q.Request, "endpoint": q.Endpoint, "adapter": q.Adapter, "granted": t.Granted, "reason": t.Reason, "version": t.Outcome.Version,
+		"request": q.Request, "endpoint": t.Instance.ID, "adapter": q.Adapter, "granted": t.Granted, "reason": t.Reason, "version": t.Outcome.Version,
 		"waited_ms": b.Clock.Now().Sub(asked).Milliseconds(),
 	}).Info("grant: settled")
-	replies.settle(&wire.ReserveReply{Granted: t.Granted, Endpoint: q.Endpoint, Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
+	replies.settle(&wire.ReserveReply{Granted: t.Granted, Endpoint: string(t.Instance.ID), Version: uint64(t.Outcome.Version), Reason: t.Reason, RetryMicros: t.Retry.Microseconds()})
 	if !t.Granted {
 		return
 	}
@@ -276,17 +287,13 @@
 // choose fills in the engine of a request that leaves it open. It returns the
 // reply if the engine is another holder's or there is none.
 func (b *Broker) choose(q *wire.ReserveRequest, r grant.Request) *wire.ReserveReply {
-	skip := make(map[plank.EndpointID]bool, len(q.Skip))
-	for _, id := range q.Skip {
-		skip[plank.EndpointID(id)] = true
-	}
 	service := plank.ServiceID(q.Service)
 	pool := b.Chooser.View.Load().Pool(service)
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	w := pick.Work{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: time.Duration(q.TargetMicros) * time.Microsecond}
-	c, ok := b.Chooser.Choose(service, pool, w, func(id plank.EndpointID) bool { return skip[id] })
+	w := pick.Work{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now())}
+	c, ok := b.Chooser.Choose(service, pool, w, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.Known {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: fullRetry.Microseconds()}
 	}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -82,8 +82,12 @@
 	Prompt   plank.Tokens
 	Output   plank.Tokens // expected
 	Priority int          // 0 first
+	// Target is until when the first token is in time.
+	Target time.Time
 	// Deadline is when the caller stops waiting for room.
 	Deadline time.Time
+	// Skip lists engines that the call must not get.
+	Skip []plank.EndpointID
 }
 
 // An Outcome settles a request.
@@ -97,6 +101,7 @@
 // A ticket is a request with its state.
 type ticket struct {
 	Request
+	engine  *Engine // where it waits or runs
 	granted bool
 	began   bool
 	settle  func(Outcome)
@@ -194,7 +199,10 @@
 func (t *ticket) size() plank.Tokens { return t.Prompt + t.Output }
 
 // reserve queues a ticket.
-func (e *Engine) reserve(t *ticket) { e.queue = append(e.queue, t) }
+func (e *Engine) reserve(t *ticket) {
+	t.engine = e
+	e.queue = append(e.queue, t)
+}
 
 // started records that the first event of a granted ticket has arrived.
 func (e *Engine) started(t *ticket) {
@@ -310,6 +318,21 @@
 	return e.reading * exp2(-now.Sub(e.readAt).Seconds()/readHalfLife.Seconds())
 }
 
+// readingRate returns the prompt tokens granted a second, lately.
+func (e *Engine) readingRate(now time.Time) float64 {
+	return e.readingNow(now) * math.Ln2 / readHalfLife.Seconds()
+}
+
+// waitingPrompts returns the prompt tokens that have not been read, of calls
+// that were granted or wait.
+func (e *Engine) waitingPrompts() plank.Tokens {
+	n := e.backlog
+	for _, t := range e.queue {
+		n += t.Prompt
+	}
+	return n
+}
+
 // agedUses returns the count of uses as of now.
 func (p *place) agedUses(now time.Time) float64 {
 	half := now.Sub(p.used).Seconds() / useHalfLife.Seconds()
@@ -343,13 +366,9 @@
 
 // state returns what other VMs are told.
 func (e *Engine) state(now time.Time) *wire.EngineState {
-	waiting := e.backlog
-	for _, t := range e.queue {
-		waiting += t.Prompt
-	}
 	s := &wire.EngineState{
 		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.counted && len(e.bases) == 0, Wanted: uint32(e.wantedPlaces()),
-		Backlog: float64(waiting), Reading: e.readingNow(now) * math.Ln2 / readHalfLife.Seconds(), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
+		Backlog: float64(e.waitingPrompts()), Reading: e.readingRate(now), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
 		s.Places = append(s.Places, &wire.Place{
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -47,7 +47,9 @@
 	unloading func(plank.AdapterRef)
 }
 
-func newWorld(limits grant.Limits) *world {
+func newWorld(limits grant.Limits) *world { return newNamedWorld("e1", limits) }
+
+func newNamedWorld(id string, limits grant.Limits) *world {
 	w := &world{
 		now: start, resident: map[plank.AdapterRef]plank.VersionNumber{}, arriving: map[plank.AdapterRef]time.Time{},
 		newest: map[plank.AdapterRef]plank.VersionNumber{}, inUse: map[plank.AdapterRef]bool{}, max: limits.MaxAdapters, cold: true,
@@ -56,7 +58,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w.engine = grant.NewEngine(grant.Held{
-		Instance: plank.Instance{ID: "e1", Bases: []plank.BaseID{"m"}}, Limits: limits, Term: 7,
+		Instance: plank.Instance{ID: plank.EndpointID(id), Bases: []plank.BaseID{"m"}}, Limits: limits, Term: 7,
 	}, &grant.Deps{
 		Self: "vm1", Evictor: place.Value{}, Clock: fixedClock{}, Log: log.WithField("t", 1),
 		Newest: func(r plank.AdapterRef) (plank.VersionNumber, time.Time) { return w.newest[r], w.since },
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -45,3 +45,18 @@
 
 // State returns what other VMs are told.
 func (e *Engine) State(now time.Time) *wire.EngineState { return e.state(now) }
+
+// Move lets tickets that wait go on at engines with room and returns how many.
+func Move(engines []*Engine, now time.Time) int {
+	ms := moves(engines, now)
+	for _, m := range ms {
+		m.ticket.moveTo(m.to)
+	}
+	return len(ms)
+}
+
+// Where returns the engine at which a ticket waits or runs.
+func (tt *TestTicket) Where() plank.EndpointID { return tt.t.engine.inst.ID }
+
+// End releases the ticket where it is.
+func (tt *TestTicket) End(now time.Time) { tt.t.engine.release(tt.t, now) }
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,8 +61,9 @@
 
 	// The fields below belong to the goroutine.
 	engines map[plank.EndpointID]*Engine
-	total   int // engines of the fleet
-	cold    int // as told last
+	list    []*Engine // the same, by ID
+	total   int       // engines of the fleet
+	cold    int       // as told last
 	dirty   map[plank.EndpointID]bool
 }
 
@@ -109,6 +112,7 @@
 func (k *Keeper) pump() time.Duration {
 	now := k.deps.Clock.Now()
 	wait := maxIdleWait
+	k.move(now)
 	for id, e := range k.engines {
 		if k.pumpEngine(e, now) {
 			k.dirty[id] = true
@@ -153,6 +157,47 @@
 	return before != len(e.queue)
 }
 
+// move lets calls that wait go on at engines with room.
+func (k *Keeper) move(now time.Time) {
+	if !slices.ContainsFunc(k.list, func(e *Engine) bool { return len(e.queue) > 0 }) {
+		return
+	}
+	for _, m := range moves(k.list, now) {
+		k.rehome(m.ticket, m.to, "another engine has room")
+	}
+}
+
+// rehome makes a ticket wait at another engine.
+func (k *Keeper) rehome(t *ticket, to *Engine, reason string) {
+	k.deps.Log.WithFields(logrus.Fields{
+		"request": t.ID, "adapter": t.Adapter.String(), "from": t.engine.inst.ID, "endpoint": to.inst.ID, "queued": len(t.engine.queue),
+		"places": len(to.places), "reason": reason,
+	}).Info("grant: moved")
+	k.dirty[t.engine.inst.ID], k.dirty[to.inst.ID] = true, true
+	t.moveTo(to)
+}
+
+// abandon gives an engine up. The calls that wait there go to others.
+func (k *Keeper) abandon(e *Engine, reason string) {
+	delete(k.engines, e.inst.ID)
+	k.listEngines()
+	now := k.deps.Clock.Now()
+	for _, t := range slices.Clone(e.queue) {
+		if to := best(k.list, t, now, (*Engine).isOrderable); to != nil {
+			k.rehome(t, to, reason)
+		}
+	}
+	e.fail(reason)
+}
+
+// listEngines brings the list of engines in line with the map.
+func (k *Keeper) listEngines() {
+	k.list = k.list[:0]
+	for _, id := range slices.Sorted(maps.Keys(k.engines)) {
+		k.list = append(k.list, k.engines[id])
+	}
+}
+
 // mayLoadCold tells whether another load from the weight store may begin.
 func (k *Keeper) mayLoadCold() bool {
 	return k.deps.Cold()+k.coldLoads() < max(minCold, int(coldPerEngine*float64(k.total)))
@@ -238,8 +283,7 @@
 		}
 		for id, e := range k.engines {
 			if !keep[id] {
-				e.fail("the engine is gone")
-				delete(k.engines, id)
+				k.abandon(e, "the engine is gone")
 				k.dirty[id] = true
 			}
 		}
@@ -255,22 +299,24 @@
 		return
 	}
 	if old != nil {
-		old.fail("the engine started anew")
+		k.abandon(old, "the engine started anew")
 	}
 	k.engines[h.Instance.ID] = NewEngine(h, &k.deps)
+	k.listEngines()
 	k.dirty[h.Instance.ID] = true
 }
 
 // A Ticket is room on an engine. It must be released.
 type Ticket struct {
 	Outcome
-	keeper *Keeper
-	engine *Engine
-	ticket *ticket
+	// Instance is the engine that has room, which need not be the one asked.
+	Instance plank.Instance
+	keeper   *Keeper
+	ticket   *ticket
 }
 
-// Reserve waits for room on an engine until ctx ends or the request's deadline.
-// A *NotHeldError reports that this VM does not order the engine.
+// Reserve waits for room on an engine until ctx ends or the request's deadline,
+// or on another one of the same service if that has room sooner. A *NotHeldError reports that this VM does not order the engine.
 func (k *Keeper) Reserve(ctx context.Context, id plank.EndpointID, born time.Time, r Request) (*Ticket, error) {
 	settled := make(chan *Ticket, 1)
 	held := make(chan bool, 1)
@@ -281,9 +327,8 @@
 			held <- false
 			return
 		}
-		t.engine = e
 		t.ticket.settle = func(o Outcome) {
-			t.Outcome = o
+			t.Outcome, t.Instance = o, t.ticket.engine.inst
 			settled <- t
 		}
 		e.reserve(t.ticket)
@@ -310,23 +355,23 @@
 // Began records that the first event has arrived.
 func (t *Ticket) Began() {
 	t.keeper.do(func() {
-		t.engine.started(t.ticket)
-		t.keeper.dirty[t.engine.inst.ID] = true
+		t.ticket.engine.started(t.ticket)
+		t.keeper.dirty[t.ticket.engine.inst.ID] = true
 	})
 }
 
 // Missing records that the engine does not hold the adapter.
 func (t *Ticket) Missing() {
 	t.keeper.do(func() {
-		t.engine.missing(t.ticket, t.keeper.deps.Clock.Now())
-		t.keeper.dirty[t.engine.inst.ID] = true
+		t.ticket.engine.missing(t.ticket, t.keeper.deps.Clock.Now())
+		t.keeper.dirty[t.ticket.engine.inst.ID] = true
 	})
 }
 
 // Release gives the room back.
 func (t *Ticket) Release() {
 	t.keeper.do(func() {
-		t.engine.release(t.ticket, t.keeper.deps.Clock.Now())
-		t.keeper.dirty[t.engine.inst.ID] = true
+		t.ticket.engine.release(t.ticket, t.keeper.deps.Clock.Now())
+		t.keeper.dirty[t.ticket.engine.inst.ID] = true
 	})
 }
--- /dev/null
+++ b/internal/grant/move.go
@@ -0,0 +1,120 @@
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pick"
+)
+
+// This file defines how calls that wait at one engine go on at another of the
+// same holder, so that none waits while another engine has room: places become
+// free in an order that nobody knows when the call is placed.
+
+// A move is a ticket that is to wait at another engine.
+type move struct {
+	ticket *ticket
+	to     *Engine
+}
+
+// moves returns the tickets that can begin at once at another engine, and
+// cannot where they wait. Each engine gets at most one at a time.
+func moves(engines []*Engine, now time.Time) []move {
+	var out []move
+	taken := make(map[*Engine]bool)
+	for _, e := range engines {
+		for _, t := range e.stuck(now) {
+			if to := best(engines, t, now, func(o *Engine) bool { return o != e && !taken[o] && o.takes(t, now) }); to != nil {
+				out = append(out, move{ticket: t, to: to})
+				taken[to] = true
+			}
+		}
+	}
+	return out
+}
+
+// best returns the engine with the least cost for a ticket among those allowed.
+func best(engines []*Engine, t *ticket, now time.Time, allowed func(*Engine) bool) *Engine {
+	w := pick.Work{Adapter: t.Adapter, Prompt: t.Prompt, Output: t.Output, Target: t.Target.Sub(now)}
+	var found []*Engine
+	var views []pick.Engine
+	for _, e := range engines {
+		if e.inst.Service == t.engine.inst.Service && !slices.Contains(t.Skip, e.inst.ID) && allowed(e) {
+			found = append(found, e)
+			views = append(views, e.view(t.Adapter, now))
+		}
+	}
+	i, _ := pick.Best(views, w, func(plank.EndpointID) bool { return false })
+	if i < 0 {
+		return nil
+	}
+	return found[i]
+}
+
+// view describes the engine to a choice.
+func (e *Engine) view(ref plank.AdapterRef, now time.Time) pick.Engine {
+	v := pick.Engine{
+		Instance: e.inst, Known: e.known, Bare: len(e.bases) == 0, Lately: e.isCached(ref),
+		Places: len(e.places), Idle: len(e.idle(now)), MaxPlaces: e.limits.MaxAdapters, Wanted: e.wantedPlaces(),
+		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.Slots, Backlog: e.waitingPrompts(),
+		Reading: e.readingRate(now), Used: e.used, Memory: e.limits.Memory, Avoid: e.silent,
+	}
+	if p := e.places[ref]; p != nil {
+		v.Resident, v.Loading = p.state == resident, p.state != resident
+		v.Stale = v.Resident && e.isStale(p, now, 0)
+	}
+	return v
+}
+
+// openings returns how many more adapters could be loaded now.
+func (e *Engine) openings(now time.Time) int {
+	free := e.limits.MaxAdapters - len(e.places) + len(e.idle(now))
+	return min(free, maxLoading-e.loadingCount())
+}
+
+// stuck returns the tickets that wait for a place while none is to be had.
+func (e *Engine) stuck(now time.Time) []*ticket {
+	if len(e.queue) == 0 {
+		return nil
+	}
+	left := e.openings(now)
+	var out []*ticket
+	seen := make(map[plank.AdapterRef]bool)
+	for _, t := range e.queue {
+		if t.Adapter.Name == "" || e.places[t.Adapter] != nil || seen[t.Adapter] {
+			continue
+		}
+		if left > 0 && e.isOrderable() {
+			seen[t.Adapter] = true
+			left--
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// isOrderable tells whether the engine's state is known and it has a base model.
+func (e *Engine) isOrderable() bool {
+	return e.known && !e.silent && len(e.bases) > 0
+}
+
+// takes tells whether a ticket that waits elsewhere could begin here at once, or
+// after its adapter's load.
+func (e *Engine) takes(t *ticket, now time.Time) bool {
+	if !e.isOrderable() || !e.fits(t) {
+		return false
+	}
+	if p := e.places[t.Adapter]; p != nil {
+		return p.state == resident && !e.isStale(p, now, t.Version)
+	}
+	return e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
+}
+
+// moveTo makes a ticket wait at another engine.
+func (t *ticket) moveTo(to *Engine) {
+	from := t.engine
+	from.queue = slices.DeleteFunc(from.queue, func(q *ticket) bool { return q == t })
+	to.reserve(t)
+}
--- /dev/null
+++ b/internal/grant/move_test.go
@@ -0,0 +1,92 @@
+package grant_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/grant"
+)
+
+// A domain is some engines of one holder.
+type domain struct {
+	worlds  []*world
+	engines []*grant.Engine
+}
+
+func newDomain(ids ...string) *domain {
+	d := &domain{}
+	for _, id := range ids {
+		w := newNamedWorld(id, limits)
+		d.worlds = append(d.worlds, w)
+		d.engines = append(d.engines, w.engine)
+	}
+	return d
+}
+
+// advance moves the time on at all engines and returns how many calls moved.
+func (d *domain) advance(total time.Duration) int {
+	const step = 10 * time.Millisecond
+	moved := 0
+	for ; total > 0; total -= step {
+		moved += grant.Move(d.engines, d.worlds[0].now)
+		for _, w := range d.worlds {
+			w.advance(step)
+		}
+	}
+	return moved
+}
+
+// The load at which calls waited in vain: all places of one engine are kept by
+// long answers while the others' become free.
+func TestCallsMoveToEnginesWithRoom(t *testing.T) {
+	d := newDomain("full", "room")
+	var running []*grant.TestTicket
+	for n := range 3 {
+		running = append(running, d.worlds[0].ask(n, 0))
+	}
+	d.advance(600 * time.Millisecond)
+	waits := []*grant.TestTicket{d.worlds[0].ask(10, 0), d.worlds[0].ask(11, 0), d.worlds[0].ask(12, 0)}
+	d.advance(700 * time.Millisecond)
+	for _, tt := range waits {
+		assert.Assert(t, tt.Settled != nil && tt.Settled.Granted)
+		assert.Equal(t, tt.Where(), plank.EndpointID("room"))
+	}
+	for _, tt := range running {
+		assert.Equal(t, tt.Where(), plank.EndpointID("full"))
+	}
+	for _, w := range d.worlds {
+		assert.Assert(t, w.most <= limits.MaxAdapters)
+	}
+}
+
+// With all places in use nothing moves; the first that becomes free gets the
+// call, wherever it waits.
+func TestCallsDoNotMoveWithoutRoom(t *testing.T) {
+	d := newDomain("a", "b")
+	var second []*grant.TestTicket
+	for n := range 3 {
+		d.worlds[0].ask(n, 0)
+		second = append(second, d.worlds[1].ask(20+n, 0))
+	}
+	d.advance(600 * time.Millisecond)
+	call := d.worlds[0].ask(10, 0)
+	assert.Equal(t, d.advance(500*time.Millisecond), 0)
+	second[1].End(d.worlds[1].now)
+	d.advance(400 * time.Millisecond)
+	assert.Assert(t, call.Settled != nil && call.Settled.Granted)
+	assert.Equal(t, call.Where(), plank.EndpointID("b"))
+}
+
+// A call that was tried at an engine does not get there again.
+func TestCallsDoNotMoveToWhereTheyFailed(t *testing.T) {
+	d := newDomain("full", "tried")
+	for n := range 3 {
+		d.worlds[0].ask(n, 0)
+	}
+	d.advance(600 * time.Millisecond)
+	now := d.worlds[0].now
+	d.worlds[0].engine.Ask(grant.Request{Adapter: adapter(9), Prompt: 100, Deadline: now.Add(time.Second), Skip: []plank.EndpointID{"tried"}})
+	assert.Equal(t, d.advance(500*time.Millisecond), 0)
+}
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -8,6 +8,11 @@
 	"knapweedplank.org/plank"
 )
 
+// evictDemand is told to evictors as the demand for a place. It is more than any
+// adapter's uses, so that no idle place is kept from a call that waits: engines
+// load what they held lately in 25 ms.
+const evictDemand = math.MaxInt32
+
 func exp2(x float64) float64 { return math.Exp2(x) }
 
 // next returns what is to be done now, and when to ask again at the latest. cold
@@ -130,8 +135,23 @@
 
 // victim picks an idle place that no ticket waits for.
 func (e *Engine) victim(now time.Time) *place {
-	var idle []*place
+	idle := e.idle(now)
 	var slots []plank.Slot
+	for _, p := range idle {
+		slots = append(slots, plank.Slot{
+			Model: plank.Model{Adapter: plank.AdapterID(p.ref.String())}, Uses: p.agedUses(now),
+			LastUse: p.used, LoadedAt: p.loaded, Copies: 1,
+		})
+	}
+	if i := e.evictor.Victim(slots, evictDemand, now); i >= 0 {
+		return idle[i]
+	}
+	return nil
+}
+
+// idle returns the places that may be taken for another adapter.
+func (e *Engine) idle(now time.Time) []*place {
+	var idle []*place
 	for _, p := range e.places {
 		if p.state != resident || e.users[p.ref] > 0 || e.isAwaited(p.ref) || now.Before(p.keep) {
 			continue
@@ -140,15 +160,8 @@
 			continue
 		}
 		idle = append(idle, p)
-		slots = append(slots, plank.Slot{
-			Model: plank.Model{Adapter: plank.AdapterID(p.ref.String())}, Uses: p.agedUses(now),
-			LastUse: p.used, LoadedAt: p.loaded, Copies: 1,
-		})
 	}
-	if i := e.evictor.Victim(slots, len(e.queue), now); i >= 0 {
-		return idle[i]
-	}
-	return nil
+	return idle
 }
 
 func (e *Engine) isAwaited(ref plank.AdapterRef) bool {
