Limits: what others used while they were not heard is not charged twice; VMs that are gone do not count

A VM that started anew among others deducted all that they had ever admitted (-113,499 at 8 s). And a VM that had been replaced for good counted as silent for half a minute, so the fleet used seven eighths of each limit. Change: while VMs are not heard, their part of a limit is withheld; when they are heard again, what they admitted comes out of that and the rest is added. A split parts what was saved up. A VM that is silent for 15 s while others of its domain are heard does not count any more. Tests, each failing before: limit TestTallyAfterACut, TestTallyKeepsWhatACutLeft, TestTallyOfANewVM; mesh TestVMsThatAreGoneDoNotCount. TestTallyProperty unchanged.

--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +35,12 @@
 	clock plank.Clock
 	stamp func() uint64 // numbers a change
 
-	mu      sync.Mutex
-	fill    float64 // part of the burst that new workspaces begin with
-	reach   float64 // part of the fleet that is heard, this VM included
+	mu    sync.Mutex
+	fill  float64 // part of the burst that new workspaces begin with
+	reach float64 // part of the fleet that is heard, this VM included
+	// unheard counts the VMs that are not heard; at least 1 while reach is
+	// below 1.
+	unheard int
 	entries map[plank.WorkspaceID]*tallyEntry
 	peers   map[plank.VMID]*peerTotals
 }
@@ -44,13 +48,19 @@
 type tallyEntry struct {
 	rate, burst float64
 	level       float64
-	at          time.Time
-	total       float64 // admitted here since the start
-	change      uint64  // when total changed last
+	// withheld is the part of the limit that belongs to the VMs that are not
+	// heard, as it would be if they admitted nothing.
+	withheld float64
+	at       time.Time
+	total    float64 // admitted here since the start
+	change   uint64  // when total changed last
 }
 
 type peerTotals struct {
-	boot   plank.BootID
+	boot plank.BootID
+	// silent is set while the VM is not heard: what it admits meanwhile comes
+	// out of what is withheld here.
+	silent bool
 	totals map[plank.WorkspaceID]float64
 }
 
@@ -64,12 +74,12 @@
 // admitted anything yet. stamp returns rising numbers and is called at each
 // change of this VM's usage.
 func NewTally(clock plank.Clock, full bool, stamp func() uint64) *Tally {
-	fill, reach := restartFill, restartReach
+	fill, reach, unheard := restartFill, restartReach, 1
 	if full {
-		fill, reach = 1, 1
+		fill, reach, unheard = 1, 1, 0
 	}
 	return &Tally{
-		clock: clock, fill: fill, reach: reach, stamp: stamp,
+		clock: clock, fill: fill, reach: reach, unheard: unheard, stamp: stamp,
 		entries: make(map[plank.WorkspaceID]*tallyEntry), peers: make(map[plank.VMID]*peerTotals),
 	}
 }
@@ -106,19 +116,35 @@
 	return plank.Tokens(e.level), t.reach
 }
 
-// SetReach tells how many VMs of those known are heard, this one included.
-func (t *Tally) SetReach(heard, known int) {
+// SetReach tells which other VMs are heard, and how many VMs there are in all as
+// far as is known, this one included.
+func (t *Tally) SetReach(heard []plank.VMID, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	reach := max(minReach, float64(heard)/float64(max(1, known)))
+	silent := 0
+	for vm, p := range t.peers {
+		p.silent = p.silent || !slices.Contains(heard, vm)
+		if p.silent {
+			silent++
+		}
+	}
+	reach := max(minReach, float64(len(heard)+1)/float64(max(1, known)))
 	for _, e := range t.entries {
 		t.refill(e, now)
-		// Those that are no longer heard go on with their part of what was
-		// saved up.
+		if reach < t.reach && e.level > 0 {
+			// Those that are no longer heard go on with their part of what was
+			// saved up.
+			parted := e.level * (1 - reach/t.reach)
+			e.level -= parted
+			e.withheld += parted
+		}
 		e.level = min(e.level, e.burst*reach)
+		// When a VM is heard again, its part is kept until its first message has
+		// been taken.
+		e.withheld = min(e.withheld, e.burst*(1-min(1, reach, t.reach)))
 	}
-	t.reach = reach
+	t.reach, t.unheard = reach, max(silent, known-len(heard)-1)
 }
 
 // refill brings an entry to now. The lock is held.
@@ -126,6 +152,8 @@
 	seconds := max(0, now.Sub(e.at).Seconds())
 	e.at = now
 	e.level = min(e.level+e.rate*t.reach*seconds, max(e.level, e.burst*t.reach))
+	rest := 1 - min(1, t.reach)
+	e.withheld = min(e.withheld+e.rate*rest*seconds, max(e.withheld, e.burst*rest))
 }
 
 // Take admits a call of the given cost, or returns the time after which it
@@ -164,21 +192,50 @@
 	e.change = t.stamp()
 }
 
-// Heard deducts what another VM admitted since it was last heard of.
-func (t *Tally) Heard(vm plank.VMID, boot plank.BootID, ws plank.WorkspaceID, total plank.Tokens) {
+// Heard takes what another VM admitted since it was last heard of. That is
+// deducted, unless the VM was not heard meanwhile: then it used its own part of
+// the limit, and what it left of that is added.
+func (t *Tally) Heard(vm plank.VMID, boot plank.BootID, usages []Usage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[vm]
+	apart := p != nil && p.silent || (p == nil || p.boot != boot) && t.reach < 1
 	if p == nil || p.boot != boot {
 		p = &peerTotals{boot: boot, totals: make(map[plank.WorkspaceID]float64)}
 		t.peers[vm] = p
 	}
-	delta := float64(total) - p.totals[ws]
-	p.totals[ws] = float64(total)
-	if e := t.entries[ws]; e != nil && e.rate > 0 {
-		t.refill(e, t.clock.Now())
-		e.level = max(e.level-delta, -maxDebt*e.burst)
+	p.silent = false
+	now := t.clock.Now()
+	admitted := make(map[plank.WorkspaceID]float64, len(usages))
+	for _, u := range usages {
+		admitted[u.Workspace] = float64(u.Total) - p.totals[u.Workspace]
+		p.totals[u.Workspace] = float64(u.Total)
+	}
+	if apart {
+		t.rejoin(admitted, now)
+		return
+	}
+	for ws, n := range admitted {
+		if e := t.entries[ws]; e != nil && e.rate > 0 {
+			t.refill(e, now)
+			e.level = max(e.level-n, -maxDebt*e.burst)
+		}
+	}
+}
+
+// rejoin adds what a VM that is heard again has left of its part of the limits.
+// The lock is held.
+func (t *Tally) rejoin(admitted map[plank.WorkspaceID]float64, now time.Time) {
+	for ws, e := range t.entries {
+		if e.rate <= 0 {
+			continue
+		}
+		t.refill(e, now)
+		part := e.withheld / float64(max(1, t.unheard))
+		e.withheld -= part
+		e.level = min(e.burst, e.level+max(0, part-admitted[ws]))
 	}
+	t.unheard = max(0, t.unheard-1)
 }
 
 // Changed returns the usages that changed after the given change.
--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -51,15 +51,13 @@
 // exchange passes all messages that can be passed.
 func (f *tallyFleet) exchange() {
 	for a, from := range f.vms {
-		heard := 1
+		var heard []plank.VMID
 		for b, to := range f.vms {
 			if a == b || !f.hears(a, b) {
 				continue
 			}
-			heard++
-			for _, u := range from.Changed(0) {
-				to.Heard(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), u.Workspace, u.Total)
-			}
+			heard = append(heard, plank.VMID(fmt.Sprint(b)))
+			to.Heard(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), from.Changed(0))
 		}
 		from.SetReach(heard, len(f.vms))
 	}
@@ -109,6 +107,52 @@
 	assert.Assert(t, f.admitted >= 0.9*8*tallyRate, "admitted %v", f.admitted)
 }
 
+// The load at which callers were refused for four seconds after a cut had
+// healed: each part had used its part of the limit, and deducted the others'
+// use from its own once more.
+func TestTallyAfterACut(t *testing.T) {
+	f := newTallyFleet(6, true)
+	f.hears = func(a, b int) bool { return (a < 2) == (b < 2) }
+	f.exchange()
+	f.send(5*time.Second, 50)
+	f.hears = func(_, _ int) bool { return true }
+	f.exchange()
+	before := f.admitted
+	f.send(time.Second, 50)
+	assert.Assert(t, f.admitted-before >= 0.9*tallyRate, "admitted %v in a second after the cut", f.admitted-before)
+	assert.Assert(t, f.admitted <= tallyAllowed(6, 6, 50), "admitted %v", f.admitted)
+}
+
+// What a part did not use during a cut is there for all after it.
+func TestTallyKeepsWhatACutLeft(t *testing.T) {
+	f := newTallyFleet(6, true)
+	f.hears = func(a, b int) bool { return (a < 2) == (b < 2) }
+	f.exchange()
+	f.clock.now = f.clock.now.Add(5 * time.Second)
+	f.hears = func(_, _ int) bool { return true }
+	f.exchange()
+	f.exchange()
+	for _, vm := range f.vms {
+		level, _ := vm.Level("w")
+		assert.Assert(t, float64(level) >= 0.9*tallyBurst, "left %v", level)
+	}
+}
+
+// A VM that starts anew among others that have run for long is not charged what
+// they admitted before.
+func TestTallyOfANewVM(t *testing.T) {
+	f := newTallyFleet(6, true)
+	f.send(20*time.Second, 10)
+	f.vms[5], f.boots[5] = f.newTally(false), 2
+	f.exchange()
+	level, _ := f.vms[5].Level("w")
+	assert.Assert(t, level >= 0, "level %v", level)
+	f.exchange()
+	before := f.admitted
+	f.send(time.Second, 10)
+	assert.Assert(t, f.admitted-before >= 0.9*tallyRate, "admitted %v", f.admitted-before)
+}
+
 // A call that costs more than the burst runs on a full bucket, and is owed.
 func TestTallyServesCallsLargerThanTheBurst(t *testing.T) {
 	f := newTallyFleet(1, true)
--- /dev/null
+++ b/internal/mesh/export_test.go
@@ -0,0 +1,4 @@
+package mesh
+
+// CountReach gives the tests access to countReach.
+var CountReach = countReach
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,6 +34,10 @@
 	// heardTime is how long a VM's counts are taken to be current: two messages
 	// at the steady pace.
 	heardTime = 500 * time.Millisecond
+	// goneTime is how long a VM is silent until it no longer counts as part of the
+	// fleet. Single VMs are cut off for some seconds, up to 12 on the users'
+	// sites.
+	goneTime = 15 * time.Second
 	// redialAfter is the pause before a VM that does not answer is tried again.
 	redialAfter = 300 * time.Millisecond
 	// forgetTime is how long a VM that never answers is tried.
@@ -335,23 +339,15 @@
 	return out
 }
 
-// Reach returns how many VMs are heard at the moment, and how many there are as
-// far as is known; this one counts in both.
-func (m *Mesh) Reach() (heard, known int) {
+// Reach returns which VMs are heard at the moment, and how many VMs there are as
+// far as is known, this one included.
+func (m *Mesh) Reach() (heard []plank.VMID, known int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
-	heard, known = 1, 1
+	heard, known = countReach(m.self.Domain, m.peers, m.clock.Now())
 	met := make(map[string]bool, len(m.peers))
 	for _, p := range m.peers {
 		met[p.Address] = true
-		current := now.Sub(p.Heard) < heardTime+2*p.pace
-		if current {
-			heard++
-		}
-		if current || !p.Leaving {
-			known++
-		}
 	}
 	for addr := range m.senders {
 		if !met[addr] {
@@ -361,6 +357,27 @@
 	return heard, known
 }
 
+// countReach returns which VMs are heard and how many there are, without those
+// that were never met. A VM that is silent for long while others of its domain
+// are heard has been taken away: a cut between domains would hide them all.
+func countReach(own plank.DomainID, peers map[plank.VMID]*Peer, now time.Time) (heard []plank.VMID, known int) {
+	known = 1
+	domains := map[plank.DomainID]bool{own: true} // with a VM that is heard
+	for vm, p := range peers {
+		if p.isCurrent(now) {
+			heard = append(heard, vm)
+			domains[p.Domain] = true
+		}
+	}
+	for _, p := range peers {
+		gone := p.Leaving || now.Sub(p.Heard) > goneTime && domains[p.Domain]
+		if p.isCurrent(now) || !gone {
+			known++
+		}
+	}
+	return heard, known
+}
+
 // sweep forgets VMs that were silent for long, and logs those that fell silent.
 func (m *Mesh) sweep() {
 	m.mu.Lock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -101,7 +101,7 @@
 	for _, n := range nodes {
 		eventually(t, "all VMs are heard", func() bool {
 			heard, known := n.Reach()
-			return heard == len(nodes) && known == len(nodes)
+			return len(heard) == len(nodes)-1 && known == len(nodes)
 		})
 	}
 }
@@ -110,11 +110,11 @@
 func TestSilentVMIsNoticed(t *testing.T) {
 	a, b := startNode(t, 1), startNode(t, 2)
 	a.Contact(b.addr)
-	eventually(t, "the VM is heard", func() bool { heard, _ := a.Reach(); return heard == 2 })
+	eventually(t, "the VM is heard", func() bool { heard, _ := a.Reach(); return len(heard) == 1 })
 	b.stop()
 	eventually(t, "the VM is silent", func() bool {
 		heard, known := a.Reach()
-		return heard == 1 && known == 2
+		return len(heard) == 0 && known == 2
 	})
 }
 
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -49,6 +49,9 @@
 // IsAlive tells whether the VM was heard of lately.
 func (p *Peer) IsAlive(now time.Time) bool { return now.Sub(p.Heard) < p.aliveTime() }
 
+// isCurrent tells whether the VM's counts are up to date.
+func (p *Peer) isCurrent(now time.Time) bool { return now.Sub(p.Heard) < heardTime+2*p.pace }
+
 // aliveTime is how long the VM may be silent.
 func (p *Peer) aliveTime() time.Duration { return AliveTime + 2*p.pace }
 
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -39,7 +39,7 @@
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, n.registry).Update(value) }
 	for pause.For(ctx, gaugePace) {
 		heard, known := n.mesh.Reach()
-		set("Mesh.Heard", int64(heard))
+		set("Mesh.Heard", int64(len(heard)+1))
 		set("Mesh.Known", int64(known))
 		set("Logs.Dropped", int64(dropped()))
 		v := n.view.Load()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -135,9 +135,11 @@
 
 // Merge implements mesh.Local.
 func (s *state) Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip) {
+	usages := make([]limit.Usage, 0, len(g.Usages))
 	for _, u := range g.Usages {
-		s.tally.Heard(vm, boot, plank.WorkspaceID(u.Workspace), plank.Tokens(u.Tokens))
+		usages = append(usages, limit.Usage{Workspace: plank.WorkspaceID(u.Workspace), Total: plank.Tokens(u.Tokens)})
 	}
+	s.tally.Heard(vm, boot, usages)
 	for _, o := range g.Objects {
 		s.table.Told(plank.Change{
 			Object:   plank.Object{Key: o.Key, Value: o.Value, Version: plank.ObjectVersion(o.Version)},
