Limits: tokens are kept for a large call that was refused, so that small ones do not starve it

Cause: a workspace at its limit takes small calls as soon as their few tokens have come in, so a call of many tokens never finds enough. Change: smaller calls leave as many tokens as the largest call that was refused lately needs, until it may come back. Test: limit TestTallyAdmitsLargeCallsAtTheLimit, failing before.

--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -19,6 +19,9 @@
 	// maxDebt is how far the others' use can take a tally below zero, as a part
 	// of the burst.
 	maxDebt = 2.0
+	// claimGrace is how much longer than it was told to wait a caller may take to
+	// come back to the tokens that are kept for it.
+	claimGrace = 300 * time.Millisecond
 	// minReach keeps a VM that hears nobody serving.
 	minReach = 0.05
 )
@@ -51,9 +54,14 @@
 	// withheld is the part of the limit that belongs to the VMs that are not
 	// heard, as it would be if they admitted nothing.
 	withheld float64
-	at       time.Time
-	total    float64 // admitted here since the start
-	change   uint64  // when total changed last
+	// claim is the cost of the largest call that was refused lately. Until
+	// claimed, smaller calls leave as much, so that large calls are not starved
+	// by small ones while a workspace is at its limit.
+	claim   float64
+	claimed time.Time
+	at      time.Time
+	total   float64 // admitted here since the start
+	change  uint64  // when total changed last
 }
 
 type peerTotals struct {
@@ -165,15 +173,22 @@
 	if e == nil || e.rate <= 0 {
 		return true, 0
 	}
-	t.refill(e, t.clock.Now())
+	now := t.clock.Now()
+	t.refill(e, now)
+	if !now.Before(e.claimed) {
+		e.claim = 0
+	}
 	// A call that is larger than the burst runs on a full bucket.
-	need := min(float64(cost), e.burst*t.reach)
-	if e.level < need {
-		missing := (need - e.level) / (e.rate * t.reach)
-		return false, time.Duration(missing * float64(time.Second))
+	need := min(max(float64(cost), e.claim), e.burst*t.reach)
+	if e.level >= need {
+		t.use(e, float64(cost))
+		return true, 0
+	}
+	wait := time.Duration((need - e.level) / (e.rate * t.reach) * float64(time.Second))
+	if float64(cost) >= e.claim {
+		e.claim, e.claimed = float64(cost), now.Add(wait+claimGrace)
 	}
-	t.use(e, float64(cost))
-	return true, 0
+	return false, wait
 }
 
 // Refund gives back what a call took that did not run.
--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -153,6 +153,30 @@
 	assert.Assert(t, f.admitted-before >= 0.9*tallyRate, "admitted %v", f.admitted-before)
 }
 
+// The load of a workspace that sends several times its limit: small calls took
+// the tokens as they came, and large ones were never admitted.
+func TestTallyAdmitsLargeCallsAtTheLimit(t *testing.T) {
+	f := newTallyFleet(3, true)
+	offered, admitted := map[plank.Tokens]int{}, map[plank.Tokens]int{}
+	for n := range 3000 {
+		cost := plank.Tokens(20)
+		if n%5 == 0 {
+			cost = 200
+		}
+		offered[cost]++
+		if ok, _ := f.vms[n%3].Take("w", cost); ok {
+			admitted[cost]++
+			f.admitted += float64(cost)
+		}
+		f.clock.now = f.clock.now.Add(5 * time.Millisecond)
+		f.exchange()
+	}
+	share := func(cost plank.Tokens) float64 { return float64(admitted[cost]) / float64(offered[cost]) }
+	assert.Assert(t, share(200) >= share(20)/2, "of large calls %.2f, of small ones %.2f", share(200), share(20))
+	assert.Assert(t, f.admitted >= 0.9*15*tallyRate, "admitted %v", f.admitted)
+	assert.Assert(t, f.admitted <= tallyAllowed(3, 15, 200), "admitted %v", f.admitted)
+}
+
 // A call that costs more than the burst runs on a full bucket, and is owed.
 func TestTallyServesCallsLargerThanTheBurst(t *testing.T) {
 	f := newTallyFleet(1, true)
