Choice and queue: adapters have homes, calls in time go first, waits end a second after the target

Holders of three domains chose three engines for the same adapter, since the hash decided 120 ms among 140 engines, which is less than a millisecond between the first two. A call whose wait had ended was then placed anew and its adapter loaded once more elsewhere. Change: the first three engines by rendezvous hashing are preferred by 300, 200 and 100 ms; a load that may not begin does not hold up others; one wait until a second after the target instead of two of 0.9 s; calls that can still be in time go first.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -19,8 +19,9 @@
 const (
 	// maxReservations bounds the engines that are asked for room for one call.
 	maxReservations = 2
-	// maxReserveWait is how long a call waits for room on one engine.
-	maxReserveWait = 900 * time.Millisecond
+	// lateWait is how much longer than until it is late a call waits for room.
+	// Until then calls that can still be in time go first.
+	lateWait = time.Second
 	// maxHolderWait is how long a call waits for any engine's holder; a lease
 	// is taken within it when all VMs have started anew.
 	maxHolderWait = 800 * time.Millisecond
@@ -134,9 +135,9 @@
 	w := j.work()
 	now := s.deps.Clock.Now()
 	w.Target = j.target.Sub(now)
-	until := now.Add(maxReserveWait)
-	if limit := j.deadline.Add(-minRun); limit.Before(until) {
-		until = limit
+	until := s.waitLimit(j, now)
+	if !until.After(now) {
+		return plank.Instance{}, nil, noCapacity("no room in time", 0)
 	}
 	r := grant.Request{
 		ID: j.call.ID, Adapter: w.Adapter, Version: j.view.Versions[w.Adapter], Prompt: w.Prompt, Output: w.Output,
@@ -164,6 +165,18 @@
 	return inst, res, nil
 }
 
+// waitLimit returns until when a call waits for room.
+func (s *Server) waitLimit(j *job, now time.Time) time.Time {
+	until := j.target.Add(lateWait)
+	if j.sends > 0 && until.Before(now.Add(lateWait)) {
+		until = now.Add(lateWait) // a stream that is carried on
+	}
+	if limit := j.deadline.Add(-minRun); limit.Before(until) {
+		until = limit
+	}
+	return until
+}
+
 // reserveAny lets a holder choose, in a fleet that is too large for each VM to
 // know all engines. The holder of the own domain is asked first.
 func (s *Server) reserveAny(ctx context.Context, j *job, w pick.Work, r grant.Request) (plank.Instance, Reservation, *plank.RefusalError) {
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -10,6 +10,7 @@
 package grant
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -238,14 +239,22 @@
 	}
 }
 
-// settle grants what there is room for, in order of priority and deadline.
+// compare orders tickets: those that can still be in time before those that are
+// late anyway, then by priority, then by when they have to begin.
+func (t *ticket) compare(o *ticket, now time.Time) int {
+	late, otherLate := !t.Target.After(now), !o.Target.After(now)
+	switch {
+	case late != otherLate && late:
+		return 1
+	case late != otherLate:
+		return -1
+	}
+	return cmp.Or(cmp.Compare(t.Priority, o.Priority), t.Target.Compare(o.Target), t.Deadline.Compare(o.Deadline))
+}
+
+// settle grants what there is room for.
 func (e *Engine) settle(now time.Time) {
-	slices.SortStableFunc(e.queue, func(a, b *ticket) int {
-		if a.Priority != b.Priority {
-			return a.Priority - b.Priority
-		}
-		return a.Deadline.Compare(b.Deadline)
-	})
+	slices.SortStableFunc(e.queue, func(a, b *ticket) int { return a.compare(b, now) })
 	waiting := e.queue[:0]
 	for _, t := range e.queue {
 		switch {
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -87,6 +87,9 @@
 		if p != nil && e.users[p.ref] > 0 {
 			continue // a replacement would wait for its runs and hold up others
 		}
+		if !e.isCached(t.Adapter) && !cold() {
+			continue // others need no load from the weight store
+		}
 		want := e.wanted(t)
 		if p == nil && len(e.places) >= e.limits.MaxAdapters {
 			if victim := e.victim(now); victim != nil {
@@ -95,9 +98,6 @@
 			}
 			return nil
 		}
-		if !e.isCached(t.Adapter) && !cold() {
-			return nil
-		}
 		if p != nil {
 			p.state = doubtful // it is replaced
 		}
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -35,9 +35,11 @@
 	farCost = 15 * time.Millisecond
 	// failCost is what a certain failure counts as.
 	failCost = 3 * time.Second
-	// hashSpread is how much of a load's time the rendezvous hash decides, so
-	// that all VMs prefer the same engine for an adapter.
-	hashSpread = 120 * time.Millisecond
+	// homes is how many engines, the first by rendezvous hashing, are the homes
+	// of an adapter; homeBonus is what the first of them is preferred by, so that
+	// all VMs load an adapter that no engine has on the same one.
+	homes     = 3
+	homeBonus = 300 * time.Millisecond
 	// coldPrice is what a load from the weight store counts as beside its time:
 	// it takes from what the store allows to all engines.
 	coldPrice = 500 * time.Millisecond
@@ -157,13 +159,15 @@
 	}
 	cost += time.Duration(disturbWeight * float64(min(e.Running, maxDisturbed)) * float64(tokensTime(w.Prompt)))
 	cost += time.Duration(runWeight * float64(runTime(e, w)))
-	if w.Adapter.Name != "" && !e.Resident && !e.Loading && !e.Lately {
+	if w.Adapter.Name != "" && e.isCold() {
 		cost += coldPrice
-		cost -= time.Duration(float64(hashSpread) * rank(w.Adapter.String(), e.Instance.ID))
 	}
 	return cost, first
 }
 
+// isCold tells whether the engine would load the adapter from the weight store.
+func (e *Engine) isCold() bool { return !e.Resident && !e.Loading && !e.Lately }
+
 // runTime returns how long the answer takes to generate: a step that reads a
 // piece of a prompt beside takes many times as long as one that does not.
 func runTime(e *Engine, w Work) time.Duration {
@@ -181,18 +185,60 @@
 	return time.Duration(float64(n) / prefillRate * float64(time.Millisecond))
 }
 
+// A home is an engine with its rank.
+type home struct {
+	index int
+	rank  float64
+}
+
+// findHomes returns the homes of an adapter, the first one first.
+func findHomes(engines []Engine, ref plank.AdapterRef) [homes]home {
+	var found [homes]home
+	for i := range found {
+		found[i].index = -1
+	}
+	name := ref.String()
+	for i := range engines {
+		h := home{index: i, rank: rank(name, engines[i].Instance.ID)}
+		for k := range found {
+			if found[k].index < 0 || h.rank > found[k].rank {
+				h, found[k] = found[k], h
+			}
+		}
+	}
+	return found
+}
+
+// bonus returns what an engine that would load the adapter from the weight store
+// is preferred by.
+func bonus(found *[homes]home, i int) time.Duration {
+	for k := range found {
+		if found[k].index == i {
+			return homeBonus * time.Duration(homes-k) / homes
+		}
+	}
+	return 0
+}
+
 // Best returns the index of the engine with the least cost, and the expected
 // time to the first token there; -1 if there is none. Engines to avoid are
 // taken only if there are no others, and those in skip never.
 func Best(engines []Engine, w Work, skip func(plank.EndpointID) bool) (int, time.Duration) {
 	best := -1
 	var least, expected time.Duration
+	var found [homes]home
+	if w.Adapter.Name != "" {
+		found = findHomes(engines, w.Adapter)
+	}
 	for i := range engines {
 		e := &engines[i]
 		if skip(e.Instance.ID) || best >= 0 && e.Avoid && !engines[best].Avoid {
 			continue
 		}
 		cost, first := Cost(e, w)
+		if w.Adapter.Name != "" && e.isCold() {
+			cost -= bonus(&found, i)
+		}
 		if best < 0 || cost < least || engines[best].Avoid && !e.Avoid {
 			best, least, expected = i, cost, first
 		}
