Loads from the weight store: lost ones do not count, each holder has its part, the most urgent go first

Loads on engines that had crashed or left an order unanswered counted as under way for good, and so did every adapter once loaded cold while it was unloaded. What holders tell of their loads is up to a second old, so one began all 46 while another with 126 waiting calls began none. Calls were moved to engines where no load could begin either. Ruled out: places, of which 60 to 150 of 282 were idle. Change: a load counts for a second at most; a holder always has its engines' part of the limit and borrows what others do not use; orders that are on their way count; engines with the most urgent calls go first; a call is told and logged by what it waited for. Tests: grant TestMayLoadCold, TestLostLoadsDoNotCount.

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -27,6 +27,9 @@
 	// coldPoll is when the check of a load from the weight store begins, which
 	// takes 250 ms.
 	coldPoll = 253 * time.Millisecond
+	// maxColdTime is how long a load counts against what the weight store allows;
+	// one that takes four times the usual is taken for lost.
+	maxColdTime = time.Second
 	// pollEvery is the pause between further checks.
 	pollEvery = 20 * time.Millisecond
 	// conflictPause is the pause after an order that the engine refused because
@@ -125,7 +128,8 @@
 	used    time.Time           // when a call last began or ended on it
 	loaded  time.Time
 	poll    time.Time // when the load is checked next
-	cold    bool      // from the weight store, as far as is known
+	// cold is until when a load takes from what the weight store allows.
+	cold time.Time
 	// keep is until when the place is not taken, because the engine refused to
 	// unload it.
 	keep time.Time
@@ -170,6 +174,7 @@
 	calm       time.Time // until when no adapter is ordered, after a conflict
 	adopted    time.Time // since when this VM orders the engine
 	busy       bool      // an action is in progress
+	ordersCold bool      // the action is a load from the weight store
 	baseLoad   bool      // a base model is on its way
 
 	queue   []*ticket
@@ -259,7 +264,7 @@
 	for _, t := range e.queue {
 		switch {
 		case !t.Deadline.After(now):
-			t.settle(Outcome{Reason: "no room in time"})
+			t.settle(Outcome{Reason: "no room in time, waited for: " + string(e.waitsFor(t, now))})
 		case e.fits(t) && e.serves(t, now):
 			e.admit(t, now)
 		case e.silent:
@@ -376,7 +381,7 @@
 // state returns what other VMs are told.
 func (e *Engine) state(now time.Time) *wire.EngineState {
 	s := &wire.EngineState{
-		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.counted && len(e.bases) == 0, Wanted: uint32(e.wantedPlaces()),
+		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.silent, Bare: e.isBare(), Wanted: uint32(e.wantedPlaces()),
 		Backlog: float64(e.waitingPrompts()), Reading: e.readingRate(now), Running: uint32(len(e.running)), Used: float64(e.used), Queued: uint32(len(e.queue)),
 	}
 	for _, p := range e.places {
@@ -393,6 +398,15 @@
 	return s
 }
 
+// isBare tells whether the engine holds no base model. Until its state was read,
+// its registration tells.
+func (e *Engine) isBare() bool {
+	if e.counted {
+		return len(e.bases) == 0
+	}
+	return len(e.inst.Bases) == 0
+}
+
 // wantedPlaces counts the adapters that tickets wait for without a place.
 func (e *Engine) wantedPlaces() int {
 	seen := make(map[plank.AdapterRef]bool)
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -38,6 +38,7 @@
 	unloads  []plank.AdapterRef
 	cold     bool
 	baseAt   time.Time // when the base model is loaded
+	loadTime time.Duration
 	// lose decides what becomes of an order: its answer may be lost, and it may
 	// be carried out late.
 	lose  func() (lost, late bool)
@@ -51,7 +52,7 @@
 
 func newNamedWorld(id string, limits grant.Limits) *world {
 	w := &world{
-		now: start, resident: map[plank.AdapterRef]plank.VersionNumber{}, arriving: map[plank.AdapterRef]time.Time{},
+		now: start, loadTime: 250 * time.Millisecond, resident: map[plank.AdapterRef]plank.VersionNumber{}, arriving: map[plank.AdapterRef]time.Time{},
 		newest: map[plank.AdapterRef]plank.VersionNumber{}, inUse: map[plank.AdapterRef]bool{}, max: limits.MaxAdapters, cold: true,
 		lose: func() (bool, bool) { return false, false }, unloading: func(plank.AdapterRef) {},
 	}
@@ -98,7 +99,7 @@
 	}
 	w.seq++
 	delete(w.resident, ref)
-	w.arriving[ref] = w.now.Add(250 * time.Millisecond)
+	w.arriving[ref] = w.now.Add(w.loadTime)
 	w.most = max(w.most, len(w.resident)+len(w.arriving))
 	return plank.OrderPending
 }
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -48,7 +48,7 @@
 
 // Move lets tickets that wait go on at engines with room and returns how many.
 func Move(engines []*Engine, now time.Time) int {
-	ms := moves(engines, now)
+	ms := moves(engines, now, true)
 	for _, m := range ms {
 		m.ticket.moveTo(m.to)
 	}
@@ -60,3 +60,9 @@
 
 // End releases the ticket where it is.
 func (tt *TestTicket) End(now time.Time) { tt.t.engine.release(tt.t, now) }
+
+// ColdLoads counts the loads from the weight store.
+func (e *Engine) ColdLoads(now time.Time) int { return e.coldCount(now) }
+
+// MayLoadCold gives the tests access to mayLoadCold.
+var MayLoadCold = mayLoadCold
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -20,10 +20,8 @@
 	statusTimeout = 600 * time.Millisecond
 	// maxIdleWait bounds the keeper's sleep.
 	maxIdleWait = 250 * time.Millisecond
-	// minCold and coldPerEngine give how many loads from the weight store may be
-	// under way over all engines before each takes longer.
-	minCold       = 8
-	coldPerEngine = 1.0 / 3
+	// waitsPace is the pause between log lines that tell what calls wait for.
+	waitsPace = time.Second
 )
 
 // Deps are what a keeper works with.
@@ -64,6 +62,7 @@
 	list    []*Engine // the same, by ID
 	total   int       // engines of the fleet
 	cold    int       // as told last
+	nextLog time.Time // of what calls wait for
 	dirty   map[plank.EndpointID]bool
 }
 
@@ -112,10 +111,19 @@
 func (k *Keeper) pump() time.Duration {
 	now := k.deps.Clock.Now()
 	wait := maxIdleWait
-	k.move(now)
-	for id, e := range k.engines {
-		if k.pumpEngine(e, now) {
-			k.dirty[id] = true
+	here, elsewhere := k.coldLoads(), k.deps.Cold()
+	mayLoad := func() bool { return mayLoadCold(len(k.list), k.total, here, elsewhere) }
+	k.move(now, mayLoad())
+	if !now.Before(k.nextLog) {
+		k.nextLog = now.Add(waitsPace)
+		k.logWaits(now)
+	}
+	for _, e := range k.byUrgency(now) {
+		if k.pumpEngine(e, now, mayLoad) {
+			k.dirty[e.inst.ID] = true
+		}
+		if e.ordersCold {
+			here = k.coldLoads()
 		}
 		if !e.busy {
 			wait = min(wait, max(time.Millisecond, e.due(now).Sub(now)))
@@ -129,28 +137,43 @@
 		}
 	}
 	clear(k.dirty)
-	if n := k.coldLoads(); n != k.cold {
-		k.cold = n
-		k.deps.Loading(n)
+	if here != k.cold {
+		k.cold = here
+		k.deps.Loading(here)
 	}
 	return wait
 }
 
+// byUrgency returns the engines, those first whose calls are the most urgent, so
+// that these get the loads that the weight store allows.
+func (k *Keeper) byUrgency(now time.Time) []*Engine {
+	var waiting, rest []*Engine
+	for _, e := range k.list {
+		if len(e.queue) > 0 {
+			waiting = append(waiting, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *Engine) int { return a.queue[0].compare(b.queue[0], now) })
+	return append(waiting, rest...)
+}
+
 // coldLoads counts the loads from the weight store on all engines.
 func (k *Keeper) coldLoads() int {
-	n := 0
-	for _, e := range k.engines {
-		n += e.coldCount()
+	n, now := 0, k.deps.Clock.Now()
+	for _, e := range k.list {
+		n += e.coldCount(now)
 	}
 	return n
 }
 
 // pumpEngine settles what can be settled and begins the next action. It
 // reports whether the engine changed.
-func (k *Keeper) pumpEngine(e *Engine, now time.Time) bool {
+func (k *Keeper) pumpEngine(e *Engine, now time.Time, mayLoad func() bool) bool {
 	before := len(e.queue)
 	e.settle(now)
-	a, ok := e.next(now, k.mayLoadCold)
+	a, ok := e.next(now, mayLoad)
 	if ok {
 		k.act(e, a)
 	}
@@ -158,11 +181,11 @@
 }
 
 // move lets calls that wait go on at engines with room.
-func (k *Keeper) move(now time.Time) {
+func (k *Keeper) move(now time.Time, cold bool) {
 	if !slices.ContainsFunc(k.list, func(e *Engine) bool { return len(e.queue) > 0 }) {
 		return
 	}
-	for _, m := range moves(k.list, now) {
+	for _, m := range moves(k.list, now, cold) {
 		k.rehome(m.ticket, m.to, "another engine has room")
 	}
 }
@@ -198,11 +221,6 @@
 	}
 }
 
-// mayLoadCold tells whether another load from the weight store may begin.
-func (k *Keeper) mayLoadCold() bool {
-	return k.deps.Cold()+k.coldLoads() < max(minCold, int(coldPerEngine*float64(k.total)))
-}
-
 // act carries out an action and hands its result back to the goroutine.
 func (k *Keeper) act(e *Engine, a Action) {
 	inst := e.inst
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -20,12 +20,13 @@
 
 // moves returns the tickets that can begin at once at another engine, and
 // cannot where they wait. Each engine gets at most one at a time.
-func moves(engines []*Engine, now time.Time) []move {
+// cold tells whether another load from the weight store may begin.
+func moves(engines []*Engine, now time.Time, cold bool) []move {
 	var out []move
 	taken := make(map[*Engine]bool)
 	for _, e := range engines {
 		for _, t := range e.stuck(now) {
-			if to := best(engines, t, now, func(o *Engine) bool { return o != e && !taken[o] && o.takes(t, now) }); to != nil {
+			if to := best(engines, t, now, func(o *Engine) bool { return o != e && !taken[o] && o.takes(t, now, cold) }); to != nil {
 				out = append(out, move{ticket: t, to: to})
 				taken[to] = true
 			}
@@ -55,7 +56,7 @@
 // view describes the engine to a choice.
 func (e *Engine) view(ref plank.AdapterRef, now time.Time) pick.Engine {
 	v := pick.Engine{
-		Instance: e.inst, Known: e.known, Bare: len(e.bases) == 0, Lately: e.isCached(ref),
+		Instance: e.inst, Known: e.known, Bare: e.isBare(), Lately: e.isCached(ref),
 		Places: len(e.places), Idle: len(e.idle(now)), MaxPlaces: e.limits.MaxAdapters, Wanted: e.wantedPlaces(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.Slots, Backlog: e.waitingPrompts(),
 		Reading: e.readingRate(now), Used: e.used, Memory: e.limits.Memory, Avoid: e.silent,
@@ -102,14 +103,14 @@
 
 // takes tells whether a ticket that waits elsewhere could begin here at once, or
 // after its adapter's load.
-func (e *Engine) takes(t *ticket, now time.Time) bool {
+func (e *Engine) takes(t *ticket, now time.Time, cold bool) bool {
 	if !e.isOrderable() || !e.fits(t) {
 		return false
 	}
 	if p := e.places[t.Adapter]; p != nil {
 		return p.state == resident && !e.isStale(p, now, t.Version)
 	}
-	return e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
+	return (cold || e.isCached(t.Adapter)) && e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
 }
 
 // moveTo makes a ticket wait at another engine.
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -101,6 +101,7 @@
 		if p != nil {
 			p.state = doubtful // it is replaced
 		}
+		e.ordersCold = !e.isCached(t.Adapter)
 		return e.order(want, false)
 	}
 	return nil
@@ -122,11 +123,15 @@
 	return n
 }
 
-// coldCount counts loads from the weight store that are under way.
-func (e *Engine) coldCount() int {
+// coldCount counts loads from the weight store that are under way. Those that
+// should have ended long ago are not: the engine may be gone or have lost them.
+func (e *Engine) coldCount(now time.Time) int {
 	n := 0
+	if e.ordersCold {
+		n++
+	}
 	for _, p := range e.places {
-		if p.state != resident && p.cold {
+		if p.state != resident && now.Before(p.cold) {
 			n++
 		}
 	}
@@ -177,7 +182,7 @@
 
 // ordered takes the result of an order. fenced tells that the duty is lost.
 func (e *Engine) ordered(o plank.Order, result plank.OrderResult, err error, now time.Time) (fenced bool) {
-	e.busy = false
+	e.busy, e.ordersCold = false, false
 	e.unanswered = nil
 	if err != nil {
 		e.repeat(o, now)
@@ -241,21 +246,20 @@
 	switch {
 	case result == plank.OrderDone:
 		p.state = resident
-		p.loaded = now
+		p.loaded, p.cold = now, time.Time{}
 		e.remember(p.ref)
 	case isPoll:
 		p.poll = now.Add(pollEvery)
 		if early := now.Sub(p.loaded); early < coldPoll {
 			p.poll = now.Add(coldPoll - early)
-			p.cold = true
+			p.cold = p.loaded.Add(maxColdTime)
 		}
 	default:
 		p.state = loading
-		p.cold = !e.isCached(p.ref)
 		p.loaded = now // of the order, until the load has ended
-		p.poll = now.Add(warmPoll)
-		if p.cold {
-			p.poll = now.Add(coldPoll)
+		p.poll, p.cold = now.Add(warmPoll), time.Time{}
+		if !e.isCached(p.ref) {
+			p.poll, p.cold = now.Add(coldPoll), now.Add(maxColdTime)
 		}
 	}
 	if !isPoll && result == plank.OrderPending {
