News from the store: paces follow the bound of the configuration, the next in rank watch first

Cause: with a bound of 3 s watches still ended after 1 s, and all VMs of a domain whose watchers were refused by the store began to watch at once. Not measured yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,12 +36,9 @@
 // The times of a daemon.
 const (
 	storeTimeout = 700 * time.Millisecond
-	// watchWait is how long a watch waits; a connection that went silent is
-	// noticed watchGrace after it.
-	watchWait  = time.Second
+	// watchGrace is how long after the end of a watch's wait a connection that
+	// went silent is noticed.
 	watchGrace = 400 * time.Millisecond
-	// eventPace gathers events of the store into one call.
-	eventPace = 450 * time.Millisecond
 	// dialTimeout bounds a connection to an endpoint.
 	dialTimeout = 500 * time.Millisecond
 	// crashProbe bounds the look whether an endpoint that broke off is down.
@@ -147,7 +144,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.news = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock}
+	n.news = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, pace: paceFor(n.settings.Bounds.ConfigApply)}
 	n.state.table, n.state.news, n.state.clock = n.table, n.news, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.tally = limit.NewTally(n.clock, n.settings.Bootstrap, n.state.stamp)
@@ -164,7 +161,7 @@
 	dialer := net.Dialer{Timeout: storeTimeout, Control: conns.SetUserTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}
 	n.store = platform.NewStore(n.settings.Store, &http.Client{Transport: transport}, platform.StoreOptions{
-		CallTimeout: storeTimeout, WatchWait: watchWait, WatchGrace: watchGrace,
+		CallTimeout: storeTimeout, WatchWait: n.news.pace.wait, WatchGrace: watchGrace,
 		Called: func(op string, status int, err error) {
 			name := "Store." + op
 			if err != nil {
@@ -339,7 +336,7 @@
 	n.table.Add(platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log})
 	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixServers, platform.PrefixVersions} {
 		n.news.add(watch.New(ctx, watch.Options{
-			Store: n.store, Prefix: prefix, Table: n.table, Pace: eventPace, Active: n.news.mustWatch, Clock: n.clock, Log: n.log,
+			Store: n.store, Prefix: prefix, Table: n.table, Pace: n.news.pace.gather, Active: n.news.mustWatch, Clock: n.clock, Log: n.log,
 		}))
 	}
 	return instances
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -70,7 +70,7 @@
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total)})
 	}
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
-		if age := s.clock.Now().Sub(fresh); age < maxNewsAge {
+		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
 			g.NewsMicros = age.Microseconds()
 			g.Objects = s.changedObjects(after.Change)
 		}
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -14,10 +14,6 @@
 
 // The rules on who calls the store.
 const (
-	// maxNewsAge is how old the news of peers may be before a VM calls the
-	// store itself. It leaves time to read the store within the 2 s in which a
-	// configuration must be in force.
-	maxNewsAge = 1700 * time.Millisecond
 	// largeDomain is from how many VMs on two of a domain call the store.
 	largeDomain = 8
 	// smallFleet is up to how many VMs news go to all failure domains.
@@ -31,6 +27,7 @@
 	mesh   *mesh.Mesh
 	domain plank.DomainID
 	clock  plank.Clock
+	pace   newsPace
 
 	mu    sync.Mutex
 	loops []*watch.Loop
@@ -86,14 +83,7 @@
 			newest = p.News
 		}
 	}
-	if now.Sub(newest) > maxNewsAge {
-		return true
-	}
-	watchers := 1
-	if len(alive) >= largeDomain {
-		watchers = 2
-	}
-	return slices.Index(byHash("watch", alive), r.self) < watchers
+	return r.pace.mustWatch(slices.Index(byHash("watch", alive), r.self), len(alive), now.Sub(newest))
 }
 
 // byHash orders VMs for a task, alike on all VMs.
