--- /dev/null
+++ b/internal/front/export_test.go
@@ -0,0 +1,4 @@
+package front
+
+// TakeNote gives the tests access to takeNote.
+var TakeNote = (*Broker).takeNote
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -26,6 +26,10 @@
 	// is taken within it when all VMs have started anew.
 	maxHolderWait = 800 * time.Millisecond
 	holderPace    = 20 * time.Millisecond
+	// stallTime is how long a call may be on an engine without a first event until
+	// the engine counts as failing: prompts of a second may be ahead of it, and
+	// the largest takes another second.
+	stallTime = 2 * time.Second
 	// minRun is the least time in which a call can still be served.
 	minRun = 100 * time.Millisecond
 	// fullRetry is when a caller may come back when no engine has room.
@@ -261,6 +265,9 @@
 // Missing implements Reservation.
 func (unmanagedReservation) Missing() {}
 
+// Failed implements Reservation.
+func (unmanagedReservation) Failed(bool) {}
+
 // Release implements Reservation.
 func (unmanagedReservation) Release() {}
 
@@ -278,6 +285,12 @@
 	defer res.Release()
 	s.deps.Flights.Add(inst.ID, j.call.Adapter, 1)
 	defer s.deps.Flights.Add(inst.ID, j.call.Adapter, -1)
+	stall := time.AfterFunc(stallTime, func() {
+		j.log.WithFields(logrus.Fields{"endpoint": inst.ID, "after_ms": stallTime.Milliseconds()}).Info("front: no first event yet")
+		s.deps.Health.Bad(inst.ID)
+		res.Failed(true)
+	})
+	defer stall.Stop()
 	a := attempt{inst: inst}
 	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
 		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: res.Version(),
@@ -293,7 +306,10 @@
 	}
 	a.result = s.classify(j, &a)
 	if a.result == served && isStream {
-		a.result, a.err = s.relay(j, p, a.reply, res)
+		a.result, a.err = s.relay(j, p, a.reply, func() {
+			stall.Stop()
+			res.Began()
+		})
 		e = end{outcome: outcomeServed, status: a.reply.Status}
 	}
 	if a.result == failed {
@@ -302,17 +318,22 @@
 	if a.result == abandoned {
 		e = end{outcome: outcomeLeft}
 	}
-	if a.result == rejected && a.reply.Status == 421 {
+	switch {
+	case a.result == rejected && a.reply.Status == 421:
 		res.Missing()
+	case a.result == unsent:
+		res.Failed(false)
+	case a.result == broken || a.result == failed:
+		res.Failed(true)
 	}
 	s.judge(j, &a)
 	return a.result, e
 }
 
-// relay passes events on until the stream ends.
-func (s *Server) relay(j *job, p *progress, reply *plank.Reply, res Reservation) (result, error) {
+// relay passes events on until the stream ends. began is called at the first.
+func (s *Server) relay(j *job, p *progress, reply *plank.Reply, began func()) (result, error) {
 	events := sse.New(reply.Body)
-	for {
+	for first := true; ; first = false {
 		ev, err := events.Next()
 		if err == io.EOF {
 			return s.endStream(j, p, reply)
@@ -323,6 +344,9 @@
 			}
 			return broken, err
 		}
+		if first {
+			began()
+		}
 		switch p.order.Check(ev.ID) {
 		case sse.Repeat:
 			continue
@@ -332,7 +356,6 @@
 		if !p.begun {
 			p.begun = true
 			j.first = s.deps.Clock.Now()
-			res.Began()
 			if err := j.w.Begin(reply.Head); err != nil {
 				return abandoned, err
 			}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -24,6 +24,8 @@
 	Began()
 	// Missing records that the engine does not hold the adapter.
 	Missing()
+	// Failed records that the engine failed the call, or could not be reached.
+	Failed(reached bool)
 	// Release must be called once the call has ended.
 	Release()
 }
@@ -88,6 +90,10 @@
 // Version implements Reservation.
 func (l localReservation) Version() plank.VersionNumber { return l.Outcome.Version }
 
+// Failed implements Reservation. The holder is this VM, which judges the engine
+// by its own calls already.
+func (localReservation) Failed(bool) {}
+
 // ackTime is how long a holder may take to tell that a caller waits. One that
 // is cut off is noticed by it.
 const ackTime = 250 * time.Millisecond
@@ -210,8 +216,17 @@
 // Missing implements Reservation.
 func (r *remoteReservation) Missing() { r.note(&wire.ReserveNote{Missing: true}) }
 
+// Failed implements Reservation.
+func (r *remoteReservation) Failed(reached bool) {
+	r.note(&wire.ReserveNote{Failed: true, Unreached: !reached})
+}
+
 func (r *remoteReservation) note(n *wire.ReserveNote) {
-	if err := r.stream.Send(n); err != nil {
+	err := r.stream.SetDeadline(time.Now().Add(ackTime))
+	if err == nil {
+		err = r.stream.Send(n)
+	}
+	if err != nil {
 		// The holder counts the call as ended; engines finish what runs.
 		r.log.WithError(err).Info("front: the holder of a room is gone")
 	}
@@ -275,12 +290,23 @@
 		return
 	}
 	for n := range notes {
-		if n.Began {
-			t.Began()
-		}
-		if n.Missing {
-			t.Missing()
-		}
+		b.takeNote(t, n)
+	}
+}
+
+// takeNote takes what a peer tells of its call. Each VM has few calls on each
+// engine of a large fleet, so the holder learns from all VMs which engines fail.
+func (b *Broker) takeNote(t *grant.Ticket, n *wire.ReserveNote) {
+	switch id := t.Instance.ID; {
+	case n.Began:
+		t.Began()
+		b.Chooser.Health.Good(id)
+	case n.Missing:
+		t.Missing()
+	case n.Failed && n.Unreached:
+		b.Chooser.Health.Unreachable(id)
+	case n.Failed:
+		b.Chooser.Health.Bad(id)
 	}
 }
 
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -153,6 +153,9 @@
 	// inUse tells whether other VMs have calls on an adapter of the engine. It
 	// lags, and is asked only while calls of an earlier holder may run.
 	inUse func(plank.EndpointID, plank.AdapterRef) bool
+	// health returns how many of its calls the engine failed lately, and whether
+	// it should get none.
+	health func(plank.EndpointID) (failRate float64, avoid bool)
 
 	// bases and places are what the engine holds, as far as is known.
 	bases  map[plank.BaseID]bool
@@ -192,7 +195,7 @@
 func NewEngine(h Held, deps *Deps) *Engine {
 	return &Engine{
 		inst: h.Instance, limits: h.Limits, fence: plank.Fence{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newest: deps.Newest, inUse: deps.InUse, adopted: deps.Clock.Now(),
+		evictor: deps.Evictor, newest: deps.Newest, inUse: deps.InUse, health: deps.Health, adopted: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), places: make(map[plank.AdapterRef]*place), running: make(map[*ticket]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -39,6 +39,7 @@
 	cold     bool
 	baseAt   time.Time // when the base model is loaded
 	loadTime time.Duration
+	avoid    bool // the engine fails
 	// lose decides what becomes of an order: its answer may be lost, and it may
 	// be carried out late.
 	lose  func() (lost, late bool)
@@ -63,6 +64,7 @@
 	}, &grant.Deps{
 		Self: "vm1", Evictor: place.Value{}, Clock: fixedClock{}, Log: log.WithField("t", 1),
 		Newest: func(r plank.AdapterRef) (plank.VersionNumber, time.Time) { return w.newest[r], w.since },
+		Health: func(plank.EndpointID) (float64, bool) { return 0, w.avoid },
 		InUse:  func(_ plank.EndpointID, r plank.AdapterRef) bool { return w.inUse[r] },
 	})
 	return w
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -39,6 +39,9 @@
 	// Cold returns the loads from the weight store that other VMs have under
 	// way.
 	Cold func() int
+	// Health returns the part of an engine's calls that failed lately, and whether
+	// it should get no calls.
+	Health func(plank.EndpointID) (failRate float64, avoid bool)
 	// Counted is told the result of each order.
 	Counted func(unload bool, result string)
 	// Loading tells others how many loads from the weight store are under way
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -55,11 +55,12 @@
 
 // view describes the engine to a choice.
 func (e *Engine) view(ref plank.AdapterRef, now time.Time) pick.Engine {
+	failRate, avoid := e.health(e.inst.ID)
 	v := pick.Engine{
 		Instance: e.inst, Known: e.known, Bare: e.isBare(), Lately: e.isCached(ref),
 		Places: len(e.places), Idle: len(e.idle(now)), MaxPlaces: e.limits.MaxAdapters, Wanted: e.wantedPlaces(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.Slots, Backlog: e.waitingPrompts(),
-		Reading: e.readingRate(now), Used: e.used, Memory: e.limits.Memory, Avoid: e.silent,
+		Reading: e.readingRate(now), Used: e.used, Memory: e.limits.Memory, FailRate: failRate, Avoid: e.silent || avoid,
 	}
 	if p := e.places[ref]; p != nil {
 		v.Resident, v.Loading = p.state == resident, p.state != resident
@@ -74,11 +75,21 @@
 	return min(free, maxLoading-e.loadingCount())
 }
 
-// stuck returns the tickets that wait for a place while none is to be had.
+// isAvoided tells whether the engine should get no calls.
+func (e *Engine) isAvoided() bool {
+	_, avoid := e.health(e.inst.ID)
+	return avoid
+}
+
+// stuck returns the tickets that wait for a place while none is to be had, or
+// for an engine that fails.
 func (e *Engine) stuck(now time.Time) []*ticket {
 	if len(e.queue) == 0 {
 		return nil
 	}
+	if e.isAvoided() {
+		return e.queue
+	}
 	left := e.openings(now)
 	var out []*ticket
 	seen := make(map[plank.AdapterRef]bool)
@@ -104,7 +115,7 @@
 // takes tells whether a ticket that waits elsewhere could begin here at once, or
 // after its adapter's load.
 func (e *Engine) takes(t *ticket, now time.Time, cold bool) bool {
-	if !e.isOrderable() || !e.fits(t) {
+	if !e.isOrderable() || !e.fits(t) || e.isAvoided() {
 		return false
 	}
 	if p := e.places[t.Adapter]; p != nil {
--- a/internal/grant/move_test.go
+++ b/internal/grant/move_test.go
@@ -90,3 +90,14 @@
 	d.worlds[0].engine.Ask(grant.Request{Adapter: adapter(9), Prompt: 100, Deadline: now.Add(time.Second), Skip: []plank.EndpointID{"tried"}})
 	assert.Equal(t, d.advance(500*time.Millisecond), 0)
 }
+
+// Calls that wait at an engine which fails others' calls go elsewhere.
+func TestCallsLeaveAnEngineThatFails(t *testing.T) {
+	d := newDomain("fails", "room")
+	d.advance(50 * time.Millisecond)
+	call := d.worlds[0].ask(1, 0)
+	d.worlds[0].avoid = true
+	d.advance(400 * time.Millisecond)
+	assert.Assert(t, call.Settled != nil && call.Settled.Granted)
+	assert.Equal(t, call.Where(), plank.EndpointID("room"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,10 +176,12 @@
 
 // buildKeeper makes the keeper of the engines that this VM orders.
 func (n *Node) buildKeeper(ctx context.Context) {
+	n.health = health.New(n.clock)
 	n.keeper = grant.NewKeeper(ctx, grant.Deps{
 		Self: n.settings.VM, Operator: platform.NewOperator(n.pool), Evictor: place.Value{}, Clock: n.clock, Log: n.log,
 		Newest: n.newest, Cold: n.peersCold, Loading: n.state.setCold, Counted: n.countOrder,
-		InUse: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
+		Health: func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
+		InUse:  func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		Publish: func(id plank.EndpointID, s *wire.EngineState) {
 			n.mesh.SetOwn(id, s)
 			n.state.setEngine(id, s)
@@ -191,7 +193,6 @@
 			}
 		},
 	})
-	n.health = health.New(n.clock)
 	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health}
 	n.broker = &front.Broker{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
 }
