--- a/internal/front/flights.go
+++ b/internal/front/flights.go
@@ -41,20 +41,26 @@
 	f.changed()
 }
 
-// All returns the counts as messages.
-func (f *Flights) All() []*wire.Flight {
+// All returns the counts as messages, those of plain services only unless
+// engines is set.
+func (f *Flights) All(engines bool) []*wire.Flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]*wire.Flight, 0, len(f.calls))
 	for id, calls := range f.calls {
 		flight := &wire.Flight{Endpoint: string(id)}
 		for ref, n := range calls {
+			if ref.Base != "" && !engines {
+				continue
+			}
 			flight.Calls += uint32(n)
 			if ref.Name != "" {
 				flight.Adapters = append(flight.Adapters, ref.String())
 			}
 		}
-		out = append(out, flight)
+		if flight.Calls > 0 {
+			out = append(out, flight)
+		}
 	}
 	return out
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -25,6 +25,10 @@
 	// VM sends to all others, so the pace falls as the fleet grows.
 	minGap     = 20 * time.Millisecond
 	gapPerPeer = 6 * time.Millisecond
+	// minFarGap is the least pause between messages to another failure domain,
+	// whose bytes have their price. Limits and counts of calls tolerate it: it is
+	// shorter than the calls of plain services take.
+	minFarGap = 60 * time.Millisecond
 	// largeFleet is from how many VMs on messages to other failure domains go at
 	// half the pace.
 	largeFleet = 17
@@ -67,6 +71,9 @@
 	Withhold bool
 	// Near is set when the receiver is in the same failure domain.
 	Near bool
+	// Brief is set when the receiver needs no counts of calls on engines: it
+	// orders none, and the fleet is large.
+	Brief bool
 }
 
 // Self names this VM.
@@ -192,7 +199,7 @@
 // waitTurn waits for the next message's time: soon after a change, or the
 // steady pace. It reports false when ctx has ended.
 func (m *Mesh) waitTurn(ctx context.Context, addr string, wake <-chan struct{}) bool {
-	near, _ := m.receiver(addr)
+	near, _, _ := m.receiver(addr)
 	gap := m.gap(near)
 	if !pause.For(ctx, gap) {
 		return false
@@ -217,10 +224,13 @@
 
 func (m *Mesh) gapLocked(near bool) time.Duration {
 	gap := max(minGap, time.Duration(len(m.senders))*gapPerPeer)
-	if !near && len(m.senders)+1 >= largeFleet {
+	if near {
+		return gap
+	}
+	if len(m.senders)+1 >= largeFleet {
 		gap *= 2
 	}
-	return gap
+	return max(gap, minFarGap)
 }
 
 // A position is what a stream has carried.
@@ -232,11 +242,11 @@
 
 // compose returns the next message of a stream.
 func (m *Mesh) compose(at *position, addr string) *wire.Gossip {
-	near, withhold := m.receiver(addr)
+	near, withhold, brief := m.receiver(addr)
 	if withhold {
 		at.engines = 0
 	}
-	g, last := m.local.Gossip(After{Change: at.change, Engines: at.engines, Withhold: withhold, Near: near})
+	g, last := m.local.Gossip(After{Change: at.change, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
 	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
 	g.EnginesWithheld, g.Capacity = withhold, m.self.Capacity
 	m.mu.Lock()
@@ -251,8 +261,9 @@
 
 // receiver tells whether the VM at addr is in this VM's domain, and whether
 // the engines' states are withheld from it: in a large fleet only the holders
-// of duties are told, and others ask them.
-func (m *Mesh) receiver(addr string) (near, withhold bool) {
+// of duties are told, and others ask them. brief tells the same of the calls on
+// engines.
+func (m *Mesh) receiver(addr string) (near, withhold, brief bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := 0
@@ -261,14 +272,14 @@
 			own++
 		}
 	}
-	withhold = own*len(m.senders) > maxSpread
+	withhold, brief = own*len(m.senders) > maxSpread, len(m.senders)+1 >= largeFleet
 	for _, p := range m.peers {
 		if p.Address == addr {
 			near = p.Domain == m.self.Domain
-			withhold = withhold && len(p.Duties) == 0
+			withhold, brief = withhold && len(p.Duties) == 0, brief && len(p.Duties) == 0
 		}
 	}
-	return near, withhold
+	return near, withhold, brief
 }
 
 // heardFrom tells whether the VM at addr was heard of lately.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -62,7 +62,8 @@
 // Gossip implements mesh.Local.
 func (s *state) Gossip(after mesh.After) (*wire.Gossip, uint64) {
 	last := s.changes.Load()
-	g := &wire.Gossip{NewsMicros: -1, Flights: s.flights.All()}
+	// Only the holders of duties need to know which adapters calls use.
+	g := &wire.Gossip{NewsMicros: -1, Flights: s.flights.All(!after.Brief)}
 	if m := s.view.Load().Manifest; m != nil {
 		g.Manifest = uint64(m.Version)
 	}
