--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -31,8 +31,13 @@
 	staleWait = 800 * time.Millisecond
 	// runCost is what each running call adds to the others' steps.
 	runCost = time.Millisecond
-	// farCost is a hop to another failure domain and the price of its bytes.
-	farCost = 15 * time.Millisecond
+	// farTime is what a hop to another failure domain takes, both ways.
+	farTime = 5 * time.Millisecond
+	// farByte is what a byte that passes between failure domains counts as, which
+	// has its price; promptBytes and outputBytes are those of a token.
+	farByte     = 5 * time.Microsecond
+	promptBytes = 2.0
+	outputBytes = 15.0
 	// failCost is what a certain failure counts as.
 	failCost = 3 * time.Second
 	// homes is how many engines, the first by rendezvous hashing, are the homes
@@ -105,7 +110,7 @@
 	d += time.Duration(e.Queued) * queueCost
 	d += time.Duration(e.FailRate * float64(failCost))
 	if e.Far {
-		d += farCost
+		d += farTime
 	}
 	if e.Bare {
 		d += e.BaseLoad
@@ -162,6 +167,9 @@
 	if w.Adapter.Name != "" && e.isCold() {
 		cost += coldPrice
 	}
+	if e.Far {
+		cost += time.Duration((promptBytes*float64(w.Prompt) + outputBytes*float64(w.Output)) * float64(farByte))
+	}
 	return cost, first
 }
 
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -52,6 +52,10 @@
 			engine("a", func(e *pick.Engine) { e.Places, e.Bare, e.BaseLoad = 0, true, 1900*time.Millisecond }),
 			engine("b", func(e *pick.Engine) { e.Places, e.Idle, e.Running = 7, 1, 8 }), "b"},
 		{"a near one", ask, engine("a", func(e *pick.Engine) { e.Resident, e.Far = true, true }), engine("b", resident), "b"},
+		{"a near one for a long prompt, at a short wait", quote,
+			engine("a", func(e *pick.Engine) { e.Resident, e.Far = true, true }), engine("b", func(e *pick.Engine) { e.Resident, e.Backlog = true, 2500 }), "b"},
+		{"a far one for a short prompt, rather than a long wait", ask,
+			engine("a", func(e *pick.Engine) { e.Resident, e.Far = true, true }), engine("b", func(e *pick.Engine) { e.Resident, e.Backlog = true, 9000 }), "a"},
 		{"one with memory", quote,
 			engine("a", func(e *pick.Engine) { e.Resident, e.Used, e.Running = true, 250_000, 25 }), engine("b", func(e *pick.Engine) { e.Lately = true }), "b"},
 	} {
