--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -72,7 +72,8 @@
 	assert.Assert(t, ok && code == 0, "the daemon did not stop")
 	for range cap(long) {
 		r := <-long
-		assert.Assert(t, r.whole, "%+v", r.code)
+		t.Logf("stream of %d bytes took %v", len(r.text), r.ended.Sub(r.began))
+		assert.Assert(t, r.whole, "%s after %v with %d bytes", r.code, r.ended.Sub(r.began), len(r.text))
 	}
 	cancelled := 0
 	for _, st := range f.engineStats() {
--- a/test/proc_test.go
+++ b/test/proc_test.go
@@ -67,10 +67,29 @@
 		p.signal(syscall.SIGCONT)
 		p.kill()
 		logs.Close()
+		p.keepLog(t)
 	})
 	return p, strings.TrimSpace(line)
 }
 
+// keepLogs names a folder for the logs of tests that failed.
+const keepLogs = "KP_KEEP_LOGS"
+
+// keepLog copies the log of a test that failed to where the environment says.
+func (p *proc) keepLog(t testing.TB) {
+	dir := os.Getenv(keepLogs)
+	if dir == "" || !t.Failed() {
+		return
+	}
+	data, err := os.ReadFile(p.log)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, t.Name()+"-"+filepath.Base(p.log)), data, 0o600)
+	}
+	if err != nil {
+		t.Logf("log not kept: %v", err)
+	}
+}
+
 func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // kill ends the process at once.
