--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -157,7 +157,7 @@
 	if now.Add(choice.Expected).After(j.deadline.Add(-minRun)) {
 		return plank.Instance{}, nil, noCapacity("no engine in time", choice.Expected/2)
 	}
-	log := j.log.WithFields(choice.fields())
+	log := j.log.WithFields(choice.fields()).WithField("adapter", w.Adapter.String())
 	inst, res, err := s.reserveOn(ctx, j, choice, r)
 	metrics.GetOrRegisterTimer("Front.ReserveWait", s.deps.Metrics).Update(s.deps.Clock.Now().Sub(now))
 	log = log.WithField("waited_ms", s.deps.Clock.Now().Sub(now).Milliseconds())
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -206,7 +206,10 @@
 		return
 	case unsent:
 		s.deps.Health.Unreachable(a.inst.ID)
-	case rejected, failed:
+	case rejected:
+		s.deps.Health.Refused(a.inst.ID)
+		log = log.WithField("status", a.reply.Status)
+	case failed:
 		s.deps.Health.Bad(a.inst.ID)
 		log = log.WithField("status", a.reply.Status)
 	case broken:
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -18,6 +18,10 @@
 	avoidTime = time.Second
 	// maxAvoid bounds that time, which doubles as long as calls fail.
 	maxAvoid = 4 * time.Second
+	// maxFailures is how many calls in a row an endpoint may fail until it gets
+	// none for avoidTime. An endpoint that fails half of its calls is judged by
+	// its rate; one that is down fails them all.
+	maxFailures = 3
 	// halfLife is the time in which past results lose half of their weight.
 	halfLife = 4 * time.Second
 	// prior is the weight of the belief that an endpoint works.
@@ -38,6 +42,7 @@
 	at        time.Time
 	avoid     time.Time // until when no call is sent
 	streak    int       // failures to reach it in a row
+	failures  int       // failed calls in a row
 }
 
 // New returns an empty table.
@@ -64,15 +69,28 @@
 	defer t.mu.Unlock()
 	e := t.entry(id)
 	e.good++
-	e.streak = 0
+	e.streak, e.failures = 0, 0
 	e.avoid = time.Time{}
 }
 
+// Refused records a call that the endpoint did not take, as when it is full. It
+// counts in the rate of failures only.
+func (t *Table) Refused(id plank.EndpointID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entry(id).bad++
+}
+
 // Bad records a call that the endpoint failed.
 func (t *Table) Bad(id plank.EndpointID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entry(id).bad++
+	e := t.entry(id)
+	e.bad++
+	if e.failures++; e.failures >= maxFailures {
+		e.failures = 0
+		e.avoid = t.clock.Now().Add(avoidTime)
+	}
 }
 
 // Unreachable records that the endpoint could not be reached, or fell silent.
