Limits: a VM that starts anew takes the levels of a settled one; a fleet that starts anew has half of each burst

Change: what a fleet begins with (half a burst) is parted like a limit during a cut and comes together as VMs meet; a VM that starts alone takes the levels that another tells.

--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -10,9 +10,11 @@
 
 // The rules of tallies.
 const (
-	// restartFill is the part of a burst that a VM begins with after a restart,
-	// when it does not know what the others admitted before.
+	// restartFill is the part of a burst that a fleet begins with after a restart
+	// of all VMs, when none knows what was admitted before.
 	restartFill = 0.5
+	// settleTime is how long a VM runs until its levels are worth telling.
+	settleTime = 3 * time.Second
 	// restartReach is the part of the fleet that a VM takes itself for after a
 	// restart, until it knows the others.
 	restartReach = 0.1
@@ -38,11 +40,12 @@
 	clock plank.Clock
 	stamp func() uint64 // numbers a change
 
-	mu    sync.Mutex
-	fill  float64 // part of the burst that new workspaces begin with
-	reach float64 // part of the fleet that is heard, this VM included
-	// unheard counts the VMs that are not heard; at least 1 while reach is
-	// below 1.
+	mu      sync.Mutex
+	settles time.Time // from when on this VM knows the levels
+	fill    float64   // part of the burst that new workspaces begin with
+	reach   float64   // part of the fleet that is heard, this VM included
+	// unheard counts the VMs whose messages have not been taken since they were
+	// silent or started.
 	unheard int
 	entries map[plank.WorkspaceID]*tallyEntry
 	peers   map[plank.VMID]*peerTotals
@@ -76,6 +79,7 @@
 type Usage struct {
 	Workspace plank.WorkspaceID
 	Total     plank.Tokens
+	Level     plank.Tokens // at hand over the fleet, as that VM knows
 }
 
 // NewTally returns a tally without limits. full tells that no other VM has
@@ -83,11 +87,13 @@
 // change of this VM's usage.
 func NewTally(clock plank.Clock, full bool, stamp func() uint64) *Tally {
 	fill, reach, unheard := restartFill, restartReach, 1
+	settles := clock.Now().Add(settleTime)
 	if full {
 		fill, reach, unheard = 1, 1, 0
+		settles = clock.Now()
 	}
 	return &Tally{
-		clock: clock, fill: fill, reach: reach, unheard: unheard, stamp: stamp,
+		settles: settles, clock: clock, fill: fill, reach: reach, unheard: unheard, stamp: stamp,
 		entries: make(map[plank.WorkspaceID]*tallyEntry), peers: make(map[plank.VMID]*peerTotals),
 	}
 }
@@ -100,7 +106,8 @@
 	for _, w := range workspaces {
 		e := t.entries[w.ID]
 		if e == nil {
-			e = &tallyEntry{at: now, level: t.fill * float64(w.Burst)}
+			fill := t.fill * float64(w.Burst)
+			e = &tallyEntry{at: now, level: fill * t.reach, withheld: fill * (1 - t.reach)}
 			t.entries[w.ID] = e
 		}
 		t.refill(e, now)
@@ -130,11 +137,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	silent := 0
+	current := 0
 	for vm, p := range t.peers {
 		p.silent = p.silent || !slices.Contains(heard, vm)
-		if p.silent {
-			silent++
+		if !p.silent {
+			current++
 		}
 	}
 	reach := max(minReach, float64(len(heard)+1)/float64(max(1, known)))
@@ -152,7 +159,7 @@
 		// been taken.
 		e.withheld = min(e.withheld, e.burst*(1-min(1, reach, t.reach)))
 	}
-	t.reach, t.unheard = reach, max(silent, known-len(heard)-1)
+	t.reach, t.unheard = reach, max(0, known-1-current)
 }
 
 // refill brings an entry to now. The lock is held.
@@ -209,13 +216,15 @@
 
 // Heard takes what another VM admitted since it was last heard of. That is
 // deducted, unless the VM was not heard meanwhile: then it used its own part of
-// the limit, and what it left of that is added.
-func (t *Tally) Heard(vm plank.VMID, boot plank.BootID, usages []Usage) {
+// the limit, and what it left of that is added. A VM that has just started takes
+// the levels of the first one it meets that is settled.
+func (t *Tally) Heard(vm plank.VMID, boot plank.BootID, settled bool, usages []Usage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[vm]
-	apart := p != nil && p.silent || (p == nil || p.boot != boot) && t.reach < 1
-	if p == nil || p.boot != boot {
+	first := p == nil || p.boot != boot
+	apart := p != nil && p.silent || first && (t.reach < 1 || t.isWithholding())
+	if first {
 		p = &peerTotals{boot: boot, totals: make(map[plank.WorkspaceID]float64)}
 		t.peers[vm] = p
 	}
@@ -226,7 +235,11 @@
 		admitted[u.Workspace] = float64(u.Total) - p.totals[u.Workspace]
 		p.totals[u.Workspace] = float64(u.Total)
 	}
-	if apart {
+	switch {
+	case first && settled && now.Before(t.settles):
+		t.adopt(usages, now)
+		return
+	case apart:
 		t.rejoin(admitted, now)
 		return
 	}
@@ -238,6 +251,27 @@
 	}
 }
 
+// isWithholding tells whether parts of limits are kept for VMs that have not been
+// heard. The lock is held.
+func (t *Tally) isWithholding() bool {
+	for _, e := range t.entries {
+		if e.withheld > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt takes another VM's levels. The lock is held.
+func (t *Tally) adopt(usages []Usage, now time.Time) {
+	for _, u := range usages {
+		if e := t.entries[u.Workspace]; e != nil && e.rate > 0 {
+			e.at, e.level, e.withheld = now, min(float64(u.Level), e.burst), 0
+		}
+	}
+	t.settles = now
+}
+
 // rejoin adds what a VM that is heard again has left of its part of the limits.
 // The lock is held.
 func (t *Tally) rejoin(admitted map[plank.WorkspaceID]float64, now time.Time) {
@@ -253,14 +287,24 @@
 	t.unheard = max(0, t.unheard-1)
 }
 
-// Changed returns the usages that changed after the given change.
+// Settled tells whether this VM knows the levels.
+func (t *Tally) Settled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.clock.Now().Before(t.settles)
+}
+
+// Changed returns the usages that changed after the given change; all of them
+// for 0.
 func (t *Tally) Changed(after uint64) []Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.clock.Now()
 	var out []Usage
 	for ws, e := range t.entries {
-		if e.change > after {
-			out = append(out, Usage{Workspace: ws, Total: plank.Tokens(e.total)})
+		if e.change > after || after == 0 {
+			t.refill(e, now)
+			out = append(out, Usage{Workspace: ws, Total: plank.Tokens(e.total), Level: plank.Tokens(e.level)})
 		}
 	}
 	return out
--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 				continue
 			}
 			heard = append(heard, plank.VMID(fmt.Sprint(b)))
-			to.Heard(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), from.Changed(0))
+			to.Heard(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), from.Settled(), from.Changed(0))
 		}
 		from.SetReach(heard, len(f.vms))
 	}
@@ -146,7 +147,8 @@
 	f.vms[5], f.boots[5] = f.newTally(false), 2
 	f.exchange()
 	level, _ := f.vms[5].Level("w")
-	assert.Assert(t, level >= 0, "level %v", level)
+	others, _ := f.vms[0].Level("w")
+	assert.Assert(t, math.Abs(float64(level-others)) <= 0.05*tallyBurst, "level %v, of the others %v", level, others)
 	f.exchange()
 	before := f.admitted
 	f.send(time.Second, 10)
@@ -177,6 +179,17 @@
 	assert.Assert(t, f.admitted <= tallyAllowed(3, 15, 200), "admitted %v", f.admitted)
 }
 
+// VMs that have all started anew have half of the burst between them, once they
+// hear each other, less what they admitted meanwhile.
+func TestTallyFillAfterARestartOfAll(t *testing.T) {
+	f := newTallyFleet(6, false)
+	f.exchange()
+	for _, vm := range f.vms {
+		level, _ := vm.Level("w")
+		assert.Assert(t, level >= 0.45*tallyBurst && level <= 0.55*tallyBurst, "level %v", level)
+	}
+}
+
 // A call that costs more than the burst runs on a full bucket, and is owed.
 func TestTallyServesCallsLargerThanTheBurst(t *testing.T) {
 	f := newTallyFleet(1, true)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -63,12 +63,12 @@
 func (s *state) Gossip(after mesh.After) (*wire.Gossip, uint64) {
 	last := s.changes.Load()
 	// Only the holders of duties need to know which adapters calls use.
-	g := &wire.Gossip{NewsMicros: -1, Flights: s.flights.All(!after.Brief)}
+	g := &wire.Gossip{NewsMicros: -1, Settled: s.tally.Settled(), Flights: s.flights.All(!after.Brief)}
 	if m := s.view.Load().Manifest; m != nil {
 		g.Manifest = uint64(m.Version)
 	}
 	for _, u := range s.tally.Changed(after.Change) {
-		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total)})
+		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total), Level: float64(u.Level)})
 	}
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
 		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
@@ -138,9 +138,11 @@
 func (s *state) Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip) {
 	usages := make([]limit.Usage, 0, len(g.Usages))
 	for _, u := range g.Usages {
-		usages = append(usages, limit.Usage{Workspace: plank.WorkspaceID(u.Workspace), Total: plank.Tokens(u.Tokens)})
+		usages = append(usages, limit.Usage{
+			Workspace: plank.WorkspaceID(u.Workspace), Total: plank.Tokens(u.Tokens), Level: plank.Tokens(u.Level),
+		})
 	}
-	s.tally.Heard(vm, boot, usages)
+	s.tally.Heard(vm, boot, g.Settled, usages)
 	for _, o := range g.Objects {
 		s.table.Told(plank.Change{
 			Object:   plank.Object{Key: o.Key, Value: o.Value, Version: plank.ObjectVersion(o.Version)},
