--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,12 +13,38 @@
 	"knapweedplank.org/plank/internal/wire"
 )
 
+// doubtTime is how long a holder that did not answer is asked last. A VM that is
+// cut off counts as silent a little later.
+const doubtTime = 600 * time.Millisecond
+
 // A Chooser chooses engines by what this VM knows of them.
 type Chooser struct {
 	Domain plank.DomainID
 	View   *view.Holder
 	Mesh   *mesh.Mesh
 	Health *health.Table
+	Clock  plank.Clock
+
+	mu sync.Mutex
+	// doubts holds until when holders, by address, are asked last.
+	doubts map[string]time.Time
+}
+
+// Doubt records that the holder at an address did not answer.
+func (c *Chooser) Doubt(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doubts == nil {
+		c.doubts = make(map[string]time.Time)
+	}
+	c.doubts[addr] = c.Clock.Now().Add(doubtTime)
+}
+
+// IsDoubted tells whether a holder did not answer lately.
+func (c *Chooser) IsDoubted(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.doubts[addr].After(c.Clock.Now())
 }
 
 // A Choice is the engine that serves a call soonest.
@@ -58,7 +85,7 @@
 			FailRate: c.Health.FailRate(inst.ID), Avoid: c.Health.IsAvoided(inst.ID), Far: inst.Domain != c.Domain,
 		}
 		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
-			e.Known = alive
+			e.Known = alive && !c.IsDoubted(state.Address)
 			describe(&e, state.State, w.Adapter, newest)
 			e.Lately = c.Mesh.HeldLately(inst.ID, w.Adapter.String())
 		} else {
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,7 +19,7 @@
 
 const (
 	// maxReservations bounds the engines that are asked for room for one call.
-	maxReservations = 2
+	maxReservations = 3
 	// lateWait is how much longer than until it is late a call waits for room.
 	// Until then calls that can still be in time go first.
 	lateWait = time.Second
@@ -200,6 +201,7 @@
 			return inst, nil, refusal
 		}
 		log.WithError(err).Warn("front: a holder does not answer")
+		s.deps.Chooser.Doubt(holder)
 	}
 	return plank.Instance{}, nil, noCapacity("no holder answers", fullRetry)
 }
@@ -217,7 +219,17 @@
 			far = append(far, p.Address)
 		}
 	}
-	return append(near, far...)
+	holders := append(near, far...)
+	slices.SortStableFunc(holders, func(a, b string) int {
+		switch doubtA, doubtB := s.deps.Chooser.IsDoubted(a), s.deps.Chooser.IsDoubted(b); {
+		case doubtA == doubtB:
+			return 0
+		case doubtA:
+			return 1
+		}
+		return -1
+	})
+	return holders
 }
 
 // unfit lists the engines that were tried, and those that fail this VM.
@@ -244,6 +256,7 @@
 			return inst, nil, refusal
 		}
 		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
+		s.deps.Chooser.Doubt(c.State.Address)
 	}
 	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
 		return c.Engine.Instance, unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -39,3 +39,21 @@
 		})
 	}
 }
+
+// The load at which calls waited a quarter of a second for each engine of a
+// holder that was cut off, one after the other.
+func TestSilentHoldersAreAskedLast(t *testing.T) {
+	clock := &handClock{now: time.Unix(1_800_000_000, 0)}
+	c := &front.Chooser{Clock: clock}
+	assert.Assert(t, !c.IsDoubted("10.0.0.1:1"))
+	c.Doubt("10.0.0.1:1")
+	assert.Assert(t, c.IsDoubted("10.0.0.1:1"))
+	assert.Assert(t, !c.IsDoubted("10.0.0.2:1"))
+	clock.now = clock.now.Add(time.Second)
+	assert.Assert(t, !c.IsDoubted("10.0.0.1:1"))
+}
+
+type handClock struct{ now time.Time }
+
+// Now implements plank.Clock.
+func (c *handClock) Now() time.Time { return c.now }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,7 +193,7 @@
 			}
 		},
 	})
-	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health}
+	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock}
 	n.broker = &front.Broker{Keeper: n.keeper, Chooser: n.chooser, Hub: n.hub, Clock: n.clock, Log: n.log}
 }
 
