--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -14,7 +14,6 @@
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/sse"
-	"knapweedplank.org/plank/internal/wire"
 )
 
 const (
@@ -44,13 +43,6 @@
 	maxUrgency = 9
 )
 
-// A progress is how far a stream has come at its caller.
-type progress struct {
-	begun  bool
-	lastID string // of the last event passed on
-	order  *sse.Order
-}
-
 // serveModel serves a call of a model engine.
 func (s *Server) serveModel(ctx context.Context, j *job) end {
 	s.deps.Budgets.Of(j.service).Request()
@@ -264,35 +256,6 @@
 	return c.Engine.Instance, nil, noCapacity("nobody orders the engine", fullRetry)
 }
 
-// A unmanagedReservation is used on an engine whose holder is silent.
-type unmanagedReservation struct {
-	version plank.VersionNumber
-}
-
-// Version implements Reservation.
-func (f unmanagedReservation) Version() plank.VersionNumber { return f.version }
-
-// Began implements Reservation.
-func (unmanagedReservation) Began() {}
-
-// Missing implements Reservation.
-func (unmanagedReservation) Missing() {}
-
-// Failed implements Reservation.
-func (unmanagedReservation) Failed(bool) {}
-
-// Release implements Reservation.
-func (unmanagedReservation) Release() {}
-
-func residentVersion(s *wire.EngineState, ref plank.AdapterRef) plank.VersionNumber {
-	for _, p := range s.Places {
-		if p.Adapter == ref.String() {
-			return plank.VersionNumber(p.Version)
-		}
-	}
-	return 0
-}
-
 // tryModel sends a call to an engine and passes its events on.
 func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, res Reservation) (result, end) {
 	defer res.Release()
@@ -304,6 +267,9 @@
 		res.Failed(true)
 	})
 	defer stall.Stop()
+	if p.begun {
+		j.log.WithFields(logrus.Fields{"endpoint": inst.ID, "after_event": p.lastID, "sends": j.sends}).Info("front: stream carried on")
+	}
 	a := attempt{inst: inst}
 	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
 		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: res.Version(),
@@ -342,58 +308,3 @@
 	s.judge(j, &a)
 	return a.result, e
 }
-
-// relay passes events on until the stream ends. began is called at the first.
-func (s *Server) relay(j *job, p *progress, reply *plank.Reply, began func()) (result, error) {
-	events := sse.New(reply.Body)
-	for first := true; ; first = false {
-		ev, err := events.Next()
-		if err == io.EOF {
-			return s.endStream(j, p, reply)
-		}
-		if err != nil {
-			if j.left() {
-				return abandoned, err
-			}
-			return broken, err
-		}
-		if first {
-			began()
-		}
-		switch p.order.Check(ev.ID) {
-		case sse.Repeat:
-			continue
-		case sse.Gap:
-			return broken, &gapError{after: p.lastID, got: ev.ID}
-		}
-		if !p.begun {
-			p.begun = true
-			j.first = s.deps.Clock.Now()
-			if err := j.w.Begin(reply.Head); err != nil {
-				return abandoned, err
-			}
-		}
-		if err := j.w.Append(ev.Data); err != nil {
-			return abandoned, err
-		}
-		if ev.ID != "" {
-			p.lastID = ev.ID
-		}
-	}
-}
-
-// A gapError reports that a stream left out an event.
-type gapError struct {
-	after, got string
-}
-
-// Error returns the message.
-func (e *gapError) Error() string { return "event " + e.got + " follows " + e.after }
-
-// endStream ends a stream that its engine ended.
-func (s *Server) endStream(j *job, p *progress, reply *plank.Reply) (result, error) {
-	if p.begun {
-		return served, nil
-	}
-	return served, j.w.Whole(reply.Head, nil)
-}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -200,20 +200,22 @@
 	log := j.log.WithFields(logrus.Fields{"endpoint": a.inst.ID, "sends": j.sends})
 	switch a.result {
 	case served:
-		s.deps.Health.Good(a.inst.ID)
+		if s.deps.Health.Good(a.inst.ID) {
+			log.Info("front: an endpoint that was avoided answers again")
+		}
 		return
 	case abandoned:
 		return
 	case unsent:
 		s.deps.Health.Unreachable(a.inst.ID)
+		log = log.WithField("avoided", true)
 	case rejected:
 		s.deps.Health.Refused(a.inst.ID)
 		log = log.WithField("status", a.reply.Status)
 	case failed:
-		s.deps.Health.Bad(a.inst.ID)
-		log = log.WithField("status", a.reply.Status)
+		log = log.WithFields(logrus.Fields{"status": a.reply.Status, "avoided": s.deps.Health.Bad(a.inst.ID)})
 	case broken:
-		s.deps.Health.Bad(a.inst.ID)
+		log = log.WithField("avoided", s.deps.Health.Bad(a.inst.ID))
 		s.suspect(j, a.inst)
 	}
 	if a.err != nil {
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -63,14 +63,16 @@
 	return e
 }
 
-// Good records a call that the endpoint served.
-func (t *Table) Good(id plank.EndpointID) {
+// Good records a call that the endpoint served. It reports whether the endpoint
+// was avoided until now.
+func (t *Table) Good(id plank.EndpointID) (regained bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(id)
 	e.good++
-	e.streak, e.failures = 0, 0
-	e.avoid = time.Time{}
+	regained = !e.avoid.IsZero()
+	e.streak, e.failures, e.avoid = 0, 0, time.Time{}
+	return regained
 }
 
 // Refused records a call that the endpoint did not take, as when it is full. It
@@ -81,16 +83,19 @@
 	t.entry(id).bad++
 }
 
-// Bad records a call that the endpoint failed.
-func (t *Table) Bad(id plank.EndpointID) {
+// Bad records a call that the endpoint failed. It reports whether the endpoint is
+// avoided from now on.
+func (t *Table) Bad(id plank.EndpointID) (avoided bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(id)
 	e.bad++
-	if e.failures++; e.failures >= maxFailures {
-		e.failures = 0
-		e.avoid = t.clock.Now().Add(avoidTime)
+	if e.failures++; e.failures < maxFailures {
+		return false
 	}
+	e.failures = 0
+	e.avoid = t.clock.Now().Add(avoidTime)
+	return true
 }
 
 // Unreachable records that the endpoint could not be reached, or fell silent.
