Duties go to VMs with room; a VM that lost a duty says so

A holder that woke after 6.6 s was asked for engines that it no longer ordered, and 652 callers in a second took its 'not the holder' for a refusal. Change: the successor is the fittest VM; a holder gives its duty, after one and a half leases, to a settled VM of the domain with twice its room, and one of another domain gives it back; 'not held' is told apart from a refusal, and such a holder is asked last.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -75,6 +75,7 @@
 	log    *logrus.Entry
 
 	held    bool
+	wonAt   time.Time
 	term    plank.Term
 	version plank.ObjectVersion
 	record  Record
@@ -104,6 +105,14 @@
 	return l.term
 }
 
+// HeldFor returns how long this VM has held the lease; 0 if it does not.
+func (l *Lease) HeldFor(now time.Time) time.Duration {
+	if l.Term() == 0 {
+		return 0
+	}
+	return now.Sub(l.wonAt)
+}
+
 // Version returns the lease object's version when it was last renewed here.
 func (l *Lease) Version() plank.ObjectVersion { return l.version }
 
@@ -206,7 +215,7 @@
 }
 
 func (l *Lease) won(version plank.ObjectVersion, rec Record, now time.Time, how string) {
-	l.held, l.term, l.version, l.record = true, plank.Term(version), version, rec
+	l.held, l.term, l.version, l.record, l.wonAt = true, plank.Term(version), version, rec, now
 	l.renewed(now)
 	l.log.WithFields(logrus.Fields{"term": l.term, "how": how}).Info("duty: lease won")
 }
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -193,7 +193,6 @@
 			return inst, nil, refusal
 		}
 		log.WithError(err).Warn("front: a holder does not answer")
-		s.deps.Chooser.Doubt(holder)
 	}
 	return plank.Instance{}, nil, noCapacity("no holder answers", fullRetry)
 }
@@ -248,7 +247,6 @@
 			return inst, nil, refusal
 		}
 		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
-		s.deps.Chooser.Doubt(c.State.Address)
 	}
 	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
 		return c.Engine.Instance, unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -165,6 +165,7 @@
 	s, err := b.Hub.Open(life, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: q}})
 	if err != nil {
 		cancel()
+		b.Chooser.Doubt(addr)
 		return nil, nil, err
 	}
 	reply, err := receiveReply(s, time.Duration(q.WaitMicros)*time.Microsecond)
@@ -176,7 +177,11 @@
 	switch {
 	case ctx.Err() != nil:
 		return nil, nil, noCapacity("no room in time", 0)
-	case err != nil:
+	case err == nil && reply.NotHeld:
+		err = &grant.NotHeldError{Endpoint: plank.EndpointID(q.Endpoint)}
+	}
+	if err != nil {
+		b.Chooser.Doubt(addr)
 		return nil, nil, &plank.UnavailableError{Target: "holder " + addr, Op: "reserve", Err: err}
 	}
 	return reply, nil, nil
@@ -274,9 +279,10 @@
 		}
 	}
 	t, err := b.Keeper.Reserve(ctx, plank.EndpointID(q.Endpoint), time.UnixMilli(q.Born), r)
+	var notHeld *grant.NotHeldError
 	if err != nil {
 		if ctx.Err() == nil {
-			replies.settle(&wire.ReserveReply{Reason: err.Error()})
+			replies.settle(&wire.ReserveReply{Reason: err.Error(), NotHeld: errors.As(err, &notHeld)})
 		}
 		return
 	}
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -15,8 +15,10 @@
 	Address string
 	// Heard is when the VM's last message arrived. It is zero if the VM is only
 	// known by name.
-	Heard    time.Time
-	Leaving  bool
+	Heard   time.Time
+	Leaving bool
+	// Settled is set when the VM has run for some seconds.
+	Settled  bool
 	Manifest plank.ManifestVersion
 	// Flights counts the VM's calls by endpoint.
 	Flights map[plank.EndpointID]Flight
@@ -61,6 +63,7 @@
 		p.Boot = plank.BootID(g.Boot)
 	}
 	p.Domain, p.Address, p.Leaving = plank.DomainID(g.Domain), g.Address, g.Leaving
+	p.Settled = g.Settled
 	p.Heard, p.Manifest, p.Cold = now, plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
 	p.Capacity, p.News = g.Capacity, time.Time{}
 	if g.NewsMicros >= 0 {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/duty"
 	"knapweedplank.org/plank/internal/grant"
@@ -62,7 +63,9 @@
 		if l.leaving.Load() {
 			lease.Release(ctx, l.successor(d, now))
 		} else {
-			lease.Step(ctx, l.facts(d, now))
+			facts := l.facts(d, now)
+			lease.Step(ctx, facts)
+			l.handOver(ctx, d, lease, facts, now)
 		}
 	}
 	var duties []*wire.Duty
@@ -185,13 +188,33 @@
 	return l
 }
 
-// successor returns a VM that stays, one of the domain if there is any.
-func (l *dutyLoop) successor(d plank.DomainID, now time.Time) plank.VMID {
-	var successor plank.VMID
+// handOver gives a duty to a VM of the domain with more room, if there is one.
+func (l *dutyLoop) handOver(ctx context.Context, d plank.DomainID, lease *duty.Lease, f duty.Facts, now time.Time) {
+	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true}}
+	inDomain := l.n.settings.Domain == d
 	for _, p := range l.n.mesh.Peers() {
-		if p.IsAlive(now) && !p.Leaving && (successor == "" || p.Domain == d) {
-			successor = p.VM
+		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled}
+		inDomain = inDomain || p.Domain == d && slices.Contains(f.Candidates, p.VM)
+	}
+	var candidates []candidate
+	if inDomain {
+		for _, vm := range f.Candidates {
+			candidates = append(candidates, known[vm])
+		}
+	}
+	if to := handover(l.n.settings.VM, candidates, lease.HeldFor(now), l.n.settings.Bounds.Lease); to != "" {
+		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity}).Info("duty: handed over")
+		lease.Release(ctx, to)
+	}
+}
+
+// successor returns the fittest VM that stays, one of the domain if there is
+// any.
+func (l *dutyLoop) successor(d plank.DomainID, now time.Time) plank.VMID {
+	for _, vm := range l.facts(d, now).Candidates {
+		if vm != l.n.settings.VM {
+			return vm
 		}
 	}
-	return successor
+	return ""
 }
