A call waits for room only while its prompt can still be read before its deadline

Cause, found reading the change: room could be granted 100 ms before the deadline of a call whose prompt alone takes 240 ms; it was sent and could not have served. Ruled out: the check of the expected time, which is made when the call is placed and not when room comes. Not measured yet. Test: front TestRoomComesInTimeToReadThePrompt.

--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -1,4 +1,7 @@
 package front
 
-// TakeNote gives the tests access to takeNote.
-var TakeNote = (*Broker).takeNote
+// These give the tests access to what is not exported.
+var (
+	TakeNote  = (*Broker).takeNote
+	RoomLimit = roomLimit
+)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -30,7 +30,8 @@
 	// the engine counts as failing: prompts of a second may be ahead of it, and
 	// the largest takes another second.
 	stallTime = 2 * time.Second
-	// minRun is the least time in which a call can still be served.
+	// minRun is the least time in which a call can still be served, beside the
+	// reading of its prompt.
 	minRun = 100 * time.Millisecond
 	// fullRetry is when a caller may come back when no engine has room.
 	fullRetry = 400 * time.Millisecond
@@ -164,12 +165,19 @@
 
 // waitLimit returns until when a call waits for room.
 func (s *Server) waitLimit(j *job, now time.Time) time.Time {
-	until := j.target.Add(lateWait)
-	if j.sends > 0 && until.Before(now.Add(lateWait)) {
-		until = now.Add(lateWait) // a stream that is carried on
+	from := j.target
+	if j.sends > 0 && from.Before(now) {
+		from = now // a stream that is carried on
 	}
-	if limit := j.deadline.Add(-minRun); limit.Before(until) {
-		until = limit
+	return roomLimit(from, j.deadline, j.call.Prompt)
+}
+
+// roomLimit returns until when room is of use to a call: a while after its
+// target, and no longer than its answer can still begin before its deadline.
+func roomLimit(target, deadline time.Time, prompt plank.Tokens) time.Time {
+	until := target.Add(lateWait)
+	if last := deadline.Add(-minRun - pick.ReadTime(prompt)); last.Before(until) {
+		return last
 	}
 	return until
 }
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -189,6 +189,10 @@
 	return float64(xxhash.Sum64String(name+"\x00"+string(id))>>11) / (1 << 53)
 }
 
+// ReadTime returns how long an engine takes to read a prompt of which it keeps
+// nothing, with nothing ahead of it.
+func ReadTime(prompt plank.Tokens) time.Duration { return tokensTime(prompt) }
+
 func tokensTime(n plank.Tokens) time.Duration {
 	return time.Duration(float64(n) / prefillRate * float64(time.Millisecond))
 }
