Read-through: a duty is offered to a larger VM once a second at most

While the store is away the release fails, and a holder would have called it and logged 'handed over' with each look at its leases (150 ms). No test of its own.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -32,6 +32,8 @@
 	// aliveAt is when a VM of a domain was last known to be alive.
 	aliveAt map[plank.DomainID]time.Time
 	claimer map[plank.DomainID]plank.VMID // that claimed the duty last
+	// handAt is when a duty may be handed over again, after an attempt.
+	handAt time.Time
 	// leaving is set when the leases are to be given up.
 	leaving atomic.Bool
 }
@@ -202,8 +204,9 @@
 			candidates = append(candidates, known[vm])
 		}
 	}
-	if to := handover(l.n.settings.VM, candidates, lease.HeldFor(now), l.n.settings.Bounds.Lease); to != "" {
-		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity}).Info("duty: handed over")
+	if to := handover(l.n.settings.VM, candidates, lease.HeldFor(now), l.n.settings.Bounds.Lease); to != "" && !now.Before(l.handAt) {
+		l.handAt = now.Add(handoverPace)
+		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity}).Info("duty: handing over")
 		lease.Release(ctx, to)
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -16,6 +16,8 @@
 	// handoverLeases is how long a duty is held at least, in times of its lease,
 	// so that holders do not take turns within one.
 	handoverLeases = 1.5
+	// handoverPace is the pause between attempts, as while the store is away.
+	handoverPace = time.Second
 )
 
 // A candidate is a VM that could hold a duty.
