Leases: a VM that stops in an outage holds its peers' leases up for their last calls

Ruled out: a longer ConsentTime (a holder that is cut off from a peer would then outlast the peer's take-over by as much, and each take-over would take as much longer); handing the consent on to the next run of the VM (no place for it while the platform is away).

Change: the last heartbeat of a run that has drained says that the run takes nothing over any more, and holds up the receivers' leases for RetireTime (15 s), counted from the heartbeat of theirs that it acknowledges. A run fences nobody within RetireTime and Grace of its start, so that it need not know what an earlier run promised. Cost: a VM that has just started takes over from a dead one after 19 s instead of 10. TestTakeOver demands that now (it demanded 10 s); TestRetiredVMsConsentLonger is new.

--- a/internal/beat/beat.go
+++ b/internal/beat/beat.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,6 +72,8 @@
 	report   *wire.Heartbeat // what is the same for all receivers
 	reported time.Time
 	streams  map[string]*peer.Stream // open ones, by address
+	// retired is set for the last heartbeats of a run that has drained.
+	retired atomic.Bool
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -96,6 +99,28 @@
 	<-b.done
 }
 
+// Retire ends the heartbeats with a last one to each VM of the own domain, and
+// returns how many have answered it in time. It must be called only after the
+// lease's keeper has ended, since a VM that retired takes nothing over.
+func (b *Beater) Retire(ctx context.Context) int {
+	b.Close()
+	b.retired.Store(true)
+	b.mu.Lock()
+	clear(b.streams) // they ended with the heartbeats so far
+	b.mu.Unlock()
+	var told atomic.Int32
+	var wg sync.WaitGroup
+	for _, t := range b.targets(false, true) {
+		wg.Go(func() {
+			if b.exchange(ctx, t) == nil {
+				told.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(told.Load())
+}
+
 // run sends a round of heartbeats every BeatEvery. A peer that is slow to
 // answer does not hold up the others.
 func (b *Beater) run(ctx context.Context) {
@@ -114,7 +139,7 @@
 			}
 			go func() {
 				defer busy.leave(t.address)
-				b.exchange(ctx, t)
+				_ = b.exchange(ctx, t) // a silent VM is noticed by its missing heartbeats
 			}()
 		}
 		b.table.Forget(b.clock.Now())
@@ -222,11 +247,11 @@
 
 // exchange sends one heartbeat and takes the answer, on the stream of earlier
 // ones if it is open.
-func (b *Beater) exchange(ctx context.Context, t target) {
+func (b *Beater) exchange(ctx context.Context, t target) error {
 	hb := b.make(t.vm)
 	s, fresh, err := b.stream(ctx, t.address, hb)
 	if err != nil {
-		return
+		return err
 	}
 	var reply wire.Heartbeat
 	err = s.SetDeadline(time.Now().Add(answerTime))
@@ -238,9 +263,10 @@
 	}
 	if err != nil {
 		b.drop(t.address, s)
-		return
+		return err
 	}
 	b.take(&reply)
+	return nil
 }
 
 // stream returns the open stream to an address, or opens one with a heartbeat.
@@ -303,7 +329,7 @@
 	report, state := b.refresh()
 	hb := &wire.Heartbeat{
 		Vm: string(b.self.VM), Boot: string(b.self.Boot), Domain: string(b.self.Domain), Address: b.self.Address,
-		Applied: uint64(b.source.Applied()), Leaving: b.source.Leaving(), StateSeq: report.GetStateSeq(),
+		Applied: uint64(b.source.Applied()), Leaving: b.source.Leaving(), Retired: b.retired.Load(), StateSeq: report.GetStateSeq(),
 		Loads: report.GetLoads(), Spares: report.GetSpares(), Suspects: report.GetSuspects(),
 	}
 	if b.table.Address(hb, to, b.clock.Now()) != hb.GetStateSeq() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -307,6 +307,9 @@
 	pause.For(ctx, unreadyTime)
 	err := d.callerServer.Shutdown(ctx)
 	d.keeper.Load().Leave(ctx)
+	d.keeper.Load().Close()
+	told := d.beater.Load().Retire(ctx)
+	d.entry("daemon").WithField("told", told).Info("daemon: retired")
 	// Peers may have requests on this VM's endpoints that were forwarded before
 	// the hand-over; the drained runners have ended them.
 	d.Close()
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		self: self, store: store, table: table, clock: clock, host: host, log: log,
-		suspector: suspector{seen: make(map[plank.VMID]suspicion)},
+		suspector: suspector{started: clock.Now(), seen: make(map[plank.VMID]suspicion)},
 		record:    claim.Record{Domain: self.Domain},
 		lease:     Lease{VM: self.VM, Boot: self.Boot, Domain: self.Domain, Address: self.Address, State: StateLive},
 		left:      make(chan struct{}), leave: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}),
@@ -128,7 +128,7 @@
 	if lost || until.IsZero() {
 		return time.Time{}
 	}
-	consent := k.table.Consent(consenters, ConsentTime, k.clock.Now())
+	consent := k.table.Consent(consenters, ConsentTime, RetireTime, k.clock.Now())
 	if consent.After(until) {
 		return consent
 	}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -89,8 +89,8 @@
 }
 
 // TestTakeOver takes over from a VM whose lease names the taker, also if the VM
-// died between the two writes of a restart: not before TTL and Grace have passed,
-// and with a higher term.
+// died between the two writes of a restart: not before RetireTime and Grace have
+// passed since the taker's start, and with a higher term.
 func TestTakeOver(t *testing.T) {
 	for name, leaseBoot := range map[string]plank.BootID{"same run": "1", "half restarted": "2"} {
 		t.Run(name, func(t *testing.T) {
@@ -103,7 +103,7 @@
 				assert.Assert(t, time.Since(began) < 30*time.Second, "no take-over")
 				time.Sleep(10 * time.Millisecond)
 			}
-			assert.Assert(t, time.Since(began) > lease.TTL+lease.Grace, "taken over after %v", time.Since(began))
+			assert.Assert(t, time.Since(began) > lease.RetireTime+lease.Grace, "taken over after %v", time.Since(began))
 			assert.Equal(t, h.seen().Share, plank.PPM(900_000))
 			assert.Equal(t, h.seen().Claims[0].Term, plank.Term(8))
 		})
@@ -117,7 +117,7 @@
 	s := memory.New()
 	dead(t, s, "1", "1", "vm-other")
 	_, h := start(t, s)
-	time.Sleep(lease.TTL + lease.Grace + 3*lease.RenewEvery)
+	time.Sleep(lease.RetireTime + lease.Grace + 3*lease.RenewEvery)
 	assert.Assert(t, h.seen().Joined)
 	assert.Equal(t, h.seen().Share, plank.PPM(0))
 	assert.Equal(t, len(h.seen().Claims), 0)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -29,7 +29,12 @@
 	// ConsentTime is how long a heartbeat that was answered holds up the
 	// sender's lease on the answerer's side.
 	ConsentTime = 6 * time.Second
-	// Grace is how much longer than TTL and ConsentTime a taker waits. It
+	// RetireTime is the same for the last heartbeat of a VM that stops while the
+	// platform is away, so that its peers go on for what they still have to serve.
+	// No later run of the VM takes over within it. It is the longest deadline of
+	// the users' calls.
+	RetireTime = 15 * time.Second
+	// Grace is how much longer than TTL, ConsentTime and RetireTime a taker waits. It
 	// covers the longest order to an endpoint and the longest loan, both of
 	// which may begin just before the lease lapses.
 	Grace = 4 * time.Second
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -39,6 +39,8 @@
 	Address string
 	Applied plank.NoteNumber
 	Leaving bool
+	// Retired is set once the VM's run has ended by a planned stop.
+	Retired bool
 	// Heard is when the VM's last heartbeat arrived here. As it may come to
 	// know so, that heartbeat holds up the VM's lease.
 	Heard time.Time
@@ -116,6 +118,7 @@
 	p.Address = hb.GetAddress()
 	p.Applied = max(p.Applied, plank.NoteNumber(hb.GetApplied()))
 	p.Leaving = hb.GetLeaving()
+	p.Retired = hb.GetRetired()
 	p.Heard = now
 	if hb.GetBeat() != 0 {
 		// Not the highest: a sender that learns of this VM's restart begins to
@@ -220,12 +223,13 @@
 	return time.Time{}
 }
 
-// Consent returns until when all the given VMs hold up this VM's lease, each by
-// having answered a heartbeat within consent.
-func (t *Table) Consent(vms []plank.VMID, consent time.Duration, now time.Time) time.Time {
+// Consent returns until when all the given VMs hold up this VM's lease: those
+// that run by having answered a heartbeat within consent, and those that retired
+// within retirement.
+func (t *Table) Consent(vms []plank.VMID, consent, retirement time.Duration, now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	until := now.Add(consent)
+	until := now.Add(max(consent, retirement))
 	for _, vm := range vms {
 		if vm == t.self {
 			continue
@@ -234,7 +238,11 @@
 		if p == nil {
 			return time.Time{}
 		}
-		if u := p.Answered.Add(consent); u.Before(until) {
+		u := p.Answered.Add(consent)
+		if p.Retired {
+			u = p.Answered.Add(retirement)
+		}
+		if u.Before(until) {
 			until = u
 		}
 	}
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -41,22 +41,25 @@
 	return now
 }
 
-const consent = 6 * time.Second
+const (
+	consent    = 6 * time.Second
+	retirement = 15 * time.Second
+)
 
 // TestConsentRunsFromSending checks that consent counts from when the heartbeat
 // that was acknowledged was sent, on both sides of one exchange.
 func TestConsentRunsFromSending(t *testing.T) {
 	a, b := newSide("vm-a", "1"), newSide("vm-b", "1")
 	now := time.Unix(1000, 0)
-	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, now).IsZero())
+	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now).IsZero())
 	now = exchange(a, b, now)
 	sent := now
 	now = exchange(a, b, now)
-	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, now), sent.Add(consent))
+	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now), sent.Add(consent))
 	// b's answer of the first exchange was acknowledged by a's second heartbeat.
-	assert.Equal(t, b.table.Consent([]plank.VMID{"vm-a"}, consent, now), sent.Add(-time.Second).Add(consent))
+	assert.Equal(t, b.table.Consent([]plank.VMID{"vm-a"}, consent, retirement, now), sent.Add(-time.Second).Add(consent))
 	// A VM that was never heard gives none.
-	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b", "vm-c"}, consent, now).IsZero())
+	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b", "vm-c"}, consent, retirement, now).IsZero())
 }
 
 // TestConsentEndsWithTheRun checks that a restarted VM holds up nothing until it
@@ -69,10 +72,10 @@
 	}
 	b = newSide("vm-b", "2")
 	now = exchange(a, b, now)
-	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, now).Before(now))
+	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now).Before(now))
 	sent := now
 	now = exchange(a, b, now)
-	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, now), sent.Add(consent))
+	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now), sent.Add(consent))
 }
 
 // TestLostAnswersGiveNoConsent loses all answers: the sender is heard, and so
@@ -81,11 +84,28 @@
 	a, b := newSide("vm-a", "1"), newSide("vm-b", "1")
 	now := exchange(a, b, time.Unix(1000, 0))
 	now = exchange(a, b, now)
-	until := a.table.Consent([]plank.VMID{"vm-b"}, consent, now)
+	until := a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now)
 	for range 5 {
 		now = now.Add(time.Second)
 		b.table.Take(a.beat(b, now), now, b.boot)
 	}
-	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, now), until)
+	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now), until)
 	assert.Equal(t, b.table.Heard("vm-a"), now)
 }
+
+// TestRetiredVMsConsentLonger checks that the last heartbeat of a run holds up a
+// lease for the time of retirement, counted from the acknowledged heartbeat, and
+// that the VM's next run ends it.
+func TestRetiredVMsConsentLonger(t *testing.T) {
+	a, b := newSide("vm-a", "1"), newSide("vm-b", "1")
+	now := exchange(a, b, time.Unix(1000, 0))
+	sent := now
+	now = exchange(a, b, now)
+	last := b.beat(a, now)
+	last.Retired = true
+	a.table.Take(last, now.Add(3*time.Second), a.boot)
+	assert.Equal(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now), sent.Add(retirement))
+	b = newSide("vm-b", "2")
+	exchange(a, b, now)
+	assert.Assert(t, a.table.Consent([]plank.VMID{"vm-b"}, consent, retirement, now).Before(now))
+}
