Holders know which adapters an engine holds lately, also after reading its state

Cause: a holder's list of the adapters that an engine loads fast was replaced by what the engine's state names, every two seconds. That names copies of base models only, so the list held little but the adapters in places.

Change: one list, package recent, for the state of an engine and for what VMs tell each other (which had a second copy of it). It ends with an engine's start, and a VM that takes a duty over begins with what it was told. What the state names of copies is not decoded any more.

--- a/instance.go
+++ b/instance.go
@@ -36,7 +36,6 @@
 	Bases    []BaseID
 	Resident []Residency
 	Loading  []Residency
-	Cached   []AdapterRef // adapters that load fast
 	Running  int
 	Waiting  int
 	Used     Tokens // memory that cannot be freed
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/recent"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -58,8 +59,6 @@
 	// versionGrace is how long calls still get the old version of an adapter
 	// whose place is in use, so that a replacement does not stop them all.
 	versionGrace = 2 * time.Second
-	// maxCached is how many adapters an engine keeps at hand.
-	maxCached = 42
 	// readHalfLife is the time in which the count of prompt tokens halves.
 	readHalfLife = time.Second
 	// maxBacklog is how many prompt tokens may wait in an engine, about a second
@@ -160,7 +159,7 @@
 	// bases and places are what the engine holds, as far as is known.
 	bases  map[plank.BaseID]bool
 	places map[plank.AdapterRef]*place
-	cached []plank.AdapterRef // held lately, the latest last
+	recent recent.List[plank.AdapterRef]
 	seq    uint64
 	// known is set once the state was read since the duty began or an order was
 	// left unanswered.
@@ -193,12 +192,16 @@
 
 // NewEngine returns an engine whose state is not known yet.
 func NewEngine(h Held, deps *Deps) *Engine {
-	return &Engine{
+	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fence: plank.Fence{Holder: deps.Self, Term: h.Term},
 		evictor: deps.Evictor, newest: deps.Newest, inUse: deps.InUse, health: deps.Health, adopted: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), places: make(map[plank.AdapterRef]*place), running: make(map[*ticket]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
+	for _, ref := range deps.Lately(h.Instance) {
+		e.recent.Add(ref)
+	}
+	return e
 }
 
 // Instance returns the engine's registration.
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -25,6 +25,7 @@
 
 // A world is an Engine with a simulated model engine behind it.
 type world struct {
+	id       plank.EndpointID
 	now      time.Time
 	engine   *grant.Engine
 	seq      uint64
@@ -33,6 +34,7 @@
 	newest   map[plank.AdapterRef]plank.VersionNumber
 	since    time.Time // of newest
 	inUse    map[plank.AdapterRef]bool
+	lately   []plank.AdapterRef // as other VMs have told
 	max      int
 	most     int // adapters ordered or held at once
 	unloads  []plank.AdapterRef
@@ -57,17 +59,24 @@
 		newest: map[plank.AdapterRef]plank.VersionNumber{}, inUse: map[plank.AdapterRef]bool{}, max: limits.MaxAdapters, cold: true,
 		lose: func() (bool, bool) { return false, false }, unloading: func(plank.AdapterRef) {},
 	}
+	w.id = plank.EndpointID(id)
+	w.restart(limits)
+	return w
+}
+
+// restart makes the state of a new holder.
+func (w *world) restart(limits grant.Limits) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w.engine = grant.NewEngine(grant.Held{
-		Instance: plank.Instance{ID: plank.EndpointID(id), Bases: []plank.BaseID{"m"}}, Limits: limits, Term: 7,
+		Instance: plank.Instance{ID: w.id, Bases: []plank.BaseID{"m"}}, Limits: limits, Term: 7,
 	}, &grant.Deps{
 		Self: "vm1", Evictor: place.Value{}, Clock: fixedClock{}, Log: log.WithField("t", 1),
 		Newest: func(r plank.AdapterRef) (plank.VersionNumber, time.Time) { return w.newest[r], w.since },
 		Health: func(plank.EndpointID) (float64, bool) { return 0, w.avoid },
 		InUse:  func(_ plank.EndpointID, r plank.AdapterRef) bool { return w.inUse[r] },
+		Lately: func(plank.Instance) []plank.AdapterRef { return w.lately },
 	})
-	return w
 }
 
 func adapter(n int) plank.AdapterRef {
--- a/internal/grant/keeper.go
+++ b/internal/grant/keeper.go
@@ -36,6 +36,8 @@
 	Newest func(plank.AdapterRef) (plank.VersionNumber, time.Time)
 	// InUse tells whether other VMs have calls on an adapter of an engine.
 	InUse func(plank.EndpointID, plank.AdapterRef) bool
+	// Lately returns the adapters that an engine held lately, the latest last.
+	Lately func(plank.Instance) []plank.AdapterRef
 	// Cold returns the loads from the weight store that other VMs have under
 	// way.
 	Cold func() int
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -57,7 +57,7 @@
 func (e *Engine) view(ref plank.AdapterRef, now time.Time) pick.Engine {
 	failRate, avoid := e.health(e.inst.ID)
 	v := pick.Engine{
-		Instance: e.inst, Known: e.known, Bare: e.isBare(), Lately: e.isCached(ref),
+		Instance: e.inst, Known: e.known, Bare: e.isBare(), Lately: e.recent.Has(ref),
 		Places: len(e.places), Idle: len(e.idle(now)), MaxPlaces: e.limits.MaxAdapters, Wanted: e.wantedPlaces(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.Slots, Backlog: e.waitingPrompts(),
 		Reading: e.readingRate(now), Used: e.used, Memory: e.limits.Memory, FailRate: failRate, Avoid: e.silent || avoid,
@@ -121,7 +121,7 @@
 	if p := e.places[t.Adapter]; p != nil {
 		return p.state == resident && !e.isStale(p, now, t.Version)
 	}
-	return (cold || e.isCached(t.Adapter)) && e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
+	return (cold || e.recent.Has(t.Adapter)) && e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
 }
 
 // moveTo makes a ticket wait at another engine.
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -87,7 +87,7 @@
 		if p != nil && e.users[p.ref] > 0 {
 			continue // a replacement would wait for its runs and hold up others
 		}
-		if !e.isCached(t.Adapter) && !cold() {
+		if !e.recent.Has(t.Adapter) && !cold() {
 			continue // others need no load from the weight store
 		}
 		want := e.wanted(t)
@@ -101,7 +101,7 @@
 		if p != nil {
 			p.state = doubtful // it is replaced
 		}
-		e.ordersCold = !e.isCached(t.Adapter)
+		e.ordersCold = !e.recent.Has(t.Adapter)
 		return e.order(want, false)
 	}
 	return nil
@@ -173,8 +173,6 @@
 	return slices.ContainsFunc(e.queue, func(t *ticket) bool { return t.Adapter == ref })
 }
 
-func (e *Engine) isCached(ref plank.AdapterRef) bool { return slices.Contains(e.cached, ref) }
-
 // order returns an order with the fence and the count of orders so far.
 func (e *Engine) order(target plank.Residency, unload bool) *plank.Order {
 	return &plank.Order{Unload: unload, Target: target, Expect: e.seq, Fence: e.fence}
@@ -247,7 +245,7 @@
 	case result == plank.OrderDone:
 		p.state = resident
 		p.loaded, p.cold = now, time.Time{}
-		e.remember(p.ref)
+		e.recent.Add(p.ref)
 	case isPoll:
 		p.poll = now.Add(pollEvery)
 		if early := now.Sub(p.loaded); early < coldPoll {
@@ -258,7 +256,7 @@
 		p.state = loading
 		p.loaded = now // of the order, until the load has ended
 		p.poll, p.cold = now.Add(warmPoll), time.Time{}
-		if !e.isCached(p.ref) {
+		if !e.recent.Has(p.ref) {
 			p.poll, p.cold = now.Add(coldPoll), now.Add(maxColdTime)
 		}
 	}
@@ -267,15 +265,6 @@
 	}
 }
 
-// remember notes an adapter as held lately.
-func (e *Engine) remember(ref plank.AdapterRef) {
-	e.cached = slices.DeleteFunc(e.cached, func(r plank.AdapterRef) bool { return r == ref })
-	e.cached = append(e.cached, ref)
-	if len(e.cached) > maxCached {
-		e.cached = slices.Delete(e.cached, 0, len(e.cached)-maxCached)
-	}
-}
-
 // repeat prepares to give an order again that was not answered. It carries the
 // same count of orders, so it is void if the engine has accepted it, and the
 // earlier one is void once the engine has accepted this one. Until then the
@@ -343,12 +332,10 @@
 		e.nextStatus = now.Add(basePoll)
 	}
 	e.readPlaces(s, now)
-	e.cached = e.cached[:0]
-	for _, ref := range s.Cached {
-		e.remember(ref)
-	}
 	for ref := range e.places {
-		e.remember(ref)
+		if !e.recent.Has(ref) {
+			e.recent.Add(ref)
+		}
 	}
 }
 
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -44,7 +44,7 @@
 		return causeLoad
 	case e.openings(now) <= 0:
 		return causePlace
-	case !e.isCached(t.Adapter):
+	case !e.recent.Has(t.Adapter):
 		return causeStore
 	}
 	return causeOrder
--- a/internal/mesh/engines.go
+++ b/internal/mesh/engines.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/recent"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -52,23 +53,41 @@
 // keepEngine keeps the state of an engine. The lock is held.
 func (m *Mesh) keepEngine(id plank.EndpointID, e Engine) {
 	m.engines[id] = e
-	h := m.lately[id]
-	if h == nil {
-		h = &history{}
-		m.lately[id] = h
+	l := m.lately[id]
+	if l == nil || l.born != e.State.Born {
+		l = &lately{born: e.State.Born}
+		m.lately[id] = l
 	}
 	for _, p := range e.State.Places {
-		h.add(p.Adapter)
+		l.adapters.Add(p.Adapter)
 	}
 }
 
+// A lately holds what one start of an engine held lately.
+type lately struct {
+	born     int64 // Unix milliseconds
+	adapters recent.List[string]
+}
+
 // HeldLately tells whether an engine held an adapter so lately that it loads
 // it fast.
 func (m *Mesh) HeldLately(id plank.EndpointID, adapter string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := m.lately[id]
-	return h != nil && h.has(adapter)
+	l := m.lately[id]
+	return l != nil && l.adapters.Has(adapter)
+}
+
+// Lately returns the adapters that an engine held lately, the latest last, as far
+// as this VM was told since the engine's start.
+func (m *Mesh) Lately(id plank.EndpointID, born time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.lately[id]
+	if l == nil || l.born != born.UnixMilli() {
+		return nil
+	}
+	return l.adapters.All()
 }
 
 // Engine returns what is known of an engine, and whether its holder is alive.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -102,7 +102,7 @@
 	// senders holds the addresses to which a loop sends, with its wake-up.
 	senders map[string]chan struct{}
 	engines map[plank.EndpointID]Engine
-	lately  map[plank.EndpointID]*history
+	lately  map[plank.EndpointID]*lately
 }
 
 // New returns a mesh whose loops end with ctx.
@@ -110,7 +110,7 @@
 	m := &Mesh{
 		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx,
 		peers: make(map[plank.VMID]*Peer), senders: make(map[string]chan struct{}),
-		engines: make(map[plank.EndpointID]Engine), lately: make(map[plank.EndpointID]*history),
+		engines: make(map[plank.EndpointID]Engine), lately: make(map[plank.EndpointID]*lately),
 	}
 	go func() {
 		for pause.For(ctx, redialAfter) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,13 @@
 		Newest: n.newest, Cold: n.peersCold, Loading: n.state.setCold, Counted: n.countOrder,
 		Health: func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		InUse:  func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
+		Lately: func(inst plank.Instance) []plank.AdapterRef {
+			var refs []plank.AdapterRef
+			for _, name := range n.mesh.Lately(inst.ID, inst.Born) {
+				refs = append(refs, plank.ParseAdapterRef(name))
+			}
+			return refs
+		},
 		Publish: func(id plank.EndpointID, s *wire.EngineState) {
 			n.mesh.SetOwn(id, s)
 			n.state.setEngine(id, s)
