A change of the store's objects is told once the teller's news are fresh

Messages leave changed objects out while the sender's news are old, that is, while any of its three watches has no recent answer. The stream's position moved past them all the same. So a VM whose watch of the configuration answered first stamped the change, sent messages without it, and told later, once its other watches had answered, that its news were fresh; its peers had neither the change nor a reason to ask the store.

Change: a position of its own for objects. A watch counts as answered after its answer is in the table, not before.

Test: mesh: TestObjectsAreToldOnceNewsAreFresh (with the old position: not told in 10 s).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -65,6 +65,9 @@
 // An After tells which changes a stream has carried.
 type After struct {
 	Change uint64
+	// Objects is the same for the store's objects, which are told only while the
+	// sender's news from the store are fresh.
+	Objects uint64
 	// Engines is the same for the engines' states, which are left out if
 	// Withhold is set.
 	Engines  uint64
@@ -236,6 +239,7 @@
 // A position is what a stream has carried.
 type position struct {
 	change  uint64 // the last change of the local state
+	objects uint64 // the last change of the store's objects
 	engines uint64 // the last change of the engines' states
 	met     int    // addresses of Mesh.met
 }
@@ -246,7 +250,7 @@
 	if withhold {
 		at.engines = 0
 	}
-	g, last := m.local.Gossip(After{Change: at.change, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
+	g, last := m.local.Gossip(After{Change: at.change, Objects: at.objects, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
 	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
 	g.EnginesWithheld, g.Capacity = withhold, m.self.Capacity
 	m.mu.Lock()
@@ -256,6 +260,9 @@
 	if !withhold {
 		at.engines = last
 	}
+	if g.NewsMicros >= 0 {
+		at.objects = last
+	}
 	return g
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -25,6 +25,12 @@
 	duties []*wire.Duty
 	states []*wire.EngineState
 	heard  map[plank.VMID]int
+	// object is a change that peers are told once; stale tells that this VM has
+	// no news from the store, so that it tells of no objects.
+	object *wire.StoredObject
+	stale  bool
+	told   int // messages composed without news
+	keys   []string
 }
 
 // Gossip implements mesh.Local.
@@ -35,14 +41,26 @@
 	if !after.Withhold && after.Engines < 1 {
 		g.Engines = l.states
 	}
+	switch {
+	case l.stale:
+		l.told++
+	default:
+		g.NewsMicros = 0
+		if l.object != nil && after.Objects < 1 {
+			g.Objects = []*wire.StoredObject{l.object}
+		}
+	}
 	return g, 1
 }
 
 // Merge implements mesh.Local.
-func (l *local) Merge(vm plank.VMID, _ plank.BootID, _ *wire.Gossip) {
+func (l *local) Merge(vm plank.VMID, _ plank.BootID, g *wire.Gossip) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[vm]++
+	for _, o := range g.Objects {
+		l.keys = append(l.keys, o.Key)
+	}
 }
 
 type node struct {
@@ -138,3 +156,26 @@
 	_, known := plain.Engine("e7")
 	assert.Assert(t, !known)
 }
+
+// A change of the store's objects reaches a peer also if the messages that
+// followed it left objects out. One of a VM's watches may answer while its others
+// do not yet, as when the store returns; the VM's news count as old until then.
+func TestObjectsAreToldOnceNewsAreFresh(t *testing.T) {
+	from, to := startNode(t, 1), startNode(t, 2)
+	from.local.stale, from.local.object = true, &wire.StoredObject{Key: "config/main"}
+	from.Contact(to.addr)
+	eventually(t, "messages without news", func() bool {
+		from.local.mu.Lock()
+		defer from.local.mu.Unlock()
+		return from.local.told > 2
+	})
+	from.local.mu.Lock()
+	from.local.stale = false
+	from.local.mu.Unlock()
+	eventually(t, "the change is told", func() bool {
+		to.local.mu.Lock()
+		defer to.local.mu.Unlock()
+		return len(to.local.keys) > 0
+	})
+	assert.Equal(t, to.local.keys[0], "config/main")
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -73,7 +73,7 @@
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
 		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
 			g.NewsMicros = age.Microseconds()
-			g.Objects = s.changedObjects(after.Change)
+			g.Objects = s.changedObjects(after.Objects)
 		}
 	}
 	s.mu.Lock()
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -62,6 +62,8 @@
 	return time.Time{}
 }
 
+// answered records an answer of the store, once what it tells is in the table:
+// peers take news for complete up to that time.
 func (l *Loop) answered() {
 	now := l.opts.Clock.Now()
 	l.fresh.Store(&now)
@@ -83,8 +85,8 @@
 		if lost {
 			l.opts.Log.WithField("prefix", l.opts.Prefix).Info("watch: the store answers again")
 		}
-		l.answered()
 		l.opts.Table.Reset(l.opts.Prefix, objects, rev, lost)
+		l.answered()
 		lost = l.follow(ctx, rev)
 	}
 }
@@ -104,7 +106,6 @@
 			l.failed(ctx, "watch", err, true)
 			return true
 		}
-		l.answered()
 		rev = max(rev, next)
 		if len(changes) > 0 {
 			for i := range changes {
@@ -114,6 +115,9 @@
 				}
 			}
 			l.opts.Table.Apply(l.opts.Prefix, changes)
+		}
+		l.answered()
+		if len(changes) > 0 {
 			pause.For(ctx, l.opts.Pace)
 		}
 	}
