Choice: an engine that held the adapter lately is worth two seconds of waiting

Change: a load from the weight store counts as 2 s beside its time, not 500 ms.

Test: pick: TestBestEngine, "one that held it lately, with half a second of prompts ahead".

--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -46,8 +46,10 @@
 	homes     = 3
 	homeBonus = 300 * time.Millisecond
 	// coldPrice is what a load from the weight store counts as beside its time:
-	// it takes from what the store allows to all engines.
-	coldPrice = 500 * time.Millisecond
+	// it takes from what the store allows to all engines, and pushes another
+	// adapter out of the engine's memory. It is twice the target of a long prompt,
+	// so a call is late rather than that an adapter is brought a second time.
+	coldPrice = 2 * time.Second
 	// easyPart is the part of the time to the target up to which a wait does no
 	// harm; lateFactor weighs what lies beyond.
 	easyPart   = 0.6
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -35,6 +35,8 @@
 	}{
 		{"one that holds the adapter", ask, engine("a", nil), engine("b", resident), "b"},
 		{"one that held it lately", ask, engine("a", nil), engine("b", func(e *pick.Engine) { e.Lately = true }), "b"},
+		{"one that held it lately, with half a second of prompts ahead", quote,
+			engine("a", func(e *pick.Engine) { e.Lately, e.Backlog = true, 20_000 }), engine("b", nil), "a"},
 		{"a new copy before a second of waiting", quote,
 			engine("a", func(e *pick.Engine) { e.Resident, e.Backlog = true, 60_000 }), engine("b", nil), "b"},
 		{"the resident copy before a short wait", quote,
