Watch: VMs whose turn it is not ask a store that is away less and less often

Cause: while the store is away the news of all VMs are old, so all of them called it for each of three prefixes every 200 ms; refused calls are charged like others.

Change: the VMs of a domain whose turn it is to watch go on every 200 ms; they notice the store first and tell the others, which wait 200, 400, 800 ms, then 1 s between calls. A VM that is told nothing still reads the store two seconds before the bound on configurations counts again.

Test: node: TestFewVMsAskAStoreThatIsAway.

--- a/internal/node/newspace.go
+++ b/internal/node/newspace.go
@@ -19,6 +19,16 @@
 	successorPart = 0.75
 )
 
+// The pauses after failed calls. A VM whose turn it is to watch notices a store
+// that comes back within the first and tells the others; these ask less and less
+// often, in case they are told nothing. The longest pause leaves them time to read
+// the store before the users hold them to the bound, three seconds after its
+// return.
+const (
+	firstRetry = 200 * time.Millisecond
+	maxRetry   = time.Second
+)
+
 // A newsPace holds the times of following the store.
 type newsPace struct {
 	wait      time.Duration // of a watch
@@ -41,10 +51,7 @@
 // watches the store, when its news have an age. In a domain whose watchers are
 // cut off from the store the next in rank go first, so that not all call it.
 func (p newsPace) mustWatch(rank, alive int, age time.Duration) bool {
-	watchers := 1
-	if alive >= largeDomain {
-		watchers = 2
-	}
+	watchers := watchers(alive)
 	switch {
 	case rank < watchers, age > p.oldest:
 		return true
@@ -53,3 +60,20 @@
 	}
 	return false
 }
+
+// watchers returns how many VMs of a domain watch the store, of those alive.
+func watchers(alive int) int {
+	if alive >= largeDomain {
+		return 2
+	}
+	return 1
+}
+
+// retry returns the pause after a number of failed calls in a row, for the VM of
+// a rank among the alive ones of its domain.
+func (p newsPace) retry(rank, alive, failures int) time.Duration {
+	if rank < watchers(alive) {
+		return firstRetry
+	}
+	return min(maxRetry, firstRetry<<min(failures-1, 8))
+}
--- a/internal/node/newspace_test.go
+++ b/internal/node/newspace_test.go
@@ -30,3 +30,29 @@
 		})
 	}
 }
+
+// The load at which a store that was away for 4.5 s had some thousand calls a
+// second from 67 VMs, all refused and all charged.
+func TestFewVMsAskAStoreThatIsAway(t *testing.T) {
+	const (
+		perDomain = 22
+		prefixes  = 3
+		away      = 4500 * time.Millisecond
+	)
+	p := paceFor(3 * time.Second)
+	calls := 0
+	for rank := range perDomain {
+		at, failures := time.Duration(0), 0
+		for at < away {
+			calls += prefixes
+			failures++
+			at += p.retry(rank, perDomain, failures)
+		}
+		assert.Assert(t, at-away <= maxRetry, "rank %d notices the store %v late", rank, at-away)
+		if rank < watchers(perDomain) {
+			assert.Assert(t, at-away <= firstRetry)
+		}
+	}
+	every := perDomain * prefixes * int(away/firstRetry)
+	assert.Assert(t, calls < every/2, "%d calls of %d", calls, every)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -344,7 +344,7 @@
 	n.table.Add(platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log})
 	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixServers, platform.PrefixVersions} {
 		n.news.add(watch.New(ctx, watch.Options{
-			Store: n.store, Prefix: prefix, Table: n.table, Pace: n.news.pace.gather, Active: n.news.mustWatch, Clock: n.clock, Log: n.log,
+			Store: n.store, Prefix: prefix, Table: n.table, Pace: n.news.pace.gather, Active: n.news.mustWatch, Retry: n.news.retry, Clock: n.clock, Log: n.log,
 		}))
 	}
 	return instances
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -32,9 +32,11 @@
 
 	mu    sync.Mutex
 	loops []*watch.Loop
-	// watches is whether this VM calls the store; it is decided anew at decideAt.
-	watches  bool
-	decideAt time.Time
+	// watches is whether this VM calls the store, by its rank among the VMs of its
+	// domain that are alive; it is decided anew at decideAt.
+	watches     bool
+	rank, alive int
+	decideAt    time.Time
 }
 
 // add takes a loop that follows the store.
@@ -101,8 +103,16 @@
 			newest = p.News
 		}
 	})
+	r.rank, r.alive = rank, alive
 	return r.pace.mustWatch(rank, alive, now.Sub(newest))
 }
 
+// retry returns the pause after a number of failed calls of the store in a row.
+func (r *watchPolicy) retry(failures int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pace.retry(r.rank, r.alive, failures)
+}
+
 // watchWeight orders VMs for watching the store, alike on all VMs.
 func watchWeight(vm plank.VMID) uint64 { return xxhash.Sum64String("watch/" + string(vm)) }
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -17,9 +17,6 @@
 
 // Pacing of the loops.
 const (
-	// retryDelay is the pause after a failed call. A store that comes back is
-	// noticed within it.
-	retryDelay = 200 * time.Millisecond
 	// relistEvery bounds how long a lost event can stay unnoticed.
 	relistEvery = 15 * time.Second
 	// idlePace is the pause between looks whether the loop is needed.
@@ -36,8 +33,10 @@
 	Pace time.Duration
 	// Active tells whether this VM is to call the store now.
 	Active func() bool
-	Clock  plank.Clock
-	Log    *logrus.Entry
+	// Retry returns the pause after a number of failed calls in a row.
+	Retry func(failures int) time.Duration
+	Clock plank.Clock
+	Log   *logrus.Entry
 }
 
 // A Loop follows one prefix of the store.
@@ -45,6 +44,8 @@
 	opts Options
 	// fresh is when the store last answered; nil for never.
 	fresh atomic.Pointer[time.Time]
+	// failures counts the calls that failed in a row. It belongs to the goroutine.
+	failures int
 }
 
 // New starts a loop that ends with ctx.
@@ -65,6 +66,7 @@
 // answered records an answer of the store, once what it tells is in the table:
 // peers take news for complete up to that time.
 func (l *Loop) answered() {
+	l.failures = 0
 	now := l.opts.Clock.Now()
 	l.fresh.Store(&now)
 }
@@ -132,5 +134,6 @@
 	if first {
 		l.opts.Log.WithFields(logrus.Fields{"prefix": l.opts.Prefix, "op": op}).WithError(err).Warn("watch: the store does not answer")
 	}
-	pause.For(ctx, retryDelay)
+	l.failures++
+	pause.For(ctx, l.opts.Retry(l.failures))
 }
