Refusals tell when room is expected; messages name their sender once a stream

Causes: a call that waited for room in vain was told to come back after 400 ms, whatever it had waited for.

The first message of a stream names the sender.

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -270,7 +270,7 @@
 	for _, t := range e.queue {
 		switch {
 		case !t.Deadline.After(now):
-			t.settle(Outcome{Reason: "no room in time, waited for: " + string(e.waitsFor(t, now))})
+			t.settle(Outcome{Reason: "no room in time, waited for: " + string(e.waitsFor(t, now)), Retry: e.roomIn(t, now)})
 		case e.fits(t) && e.serves(t, now):
 			e.admit(t, now)
 		case e.silent:
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank/internal/pick"
 )
 
 // This file defines what calls wait for, as logs tell it.
@@ -50,6 +51,15 @@
 	return causeOrder
 }
 
+// roomIn returns after which time the engine is expected to have room for a
+// ticket, behind what waits there.
+func (e *Engine) roomIn(t *ticket, now time.Time) time.Duration {
+	v := e.view(t.Adapter, now)
+	v.Queued-- // the ticket itself
+	v.Backlog -= t.Prompt
+	return pick.FirstToken(&v, pick.Work{Adapter: t.Adapter, Prompt: t.Prompt, Output: t.Output}) - pick.ReadTime(t.Prompt)
+}
+
 // logWaits tells what calls wait for, if any do.
 func (k *Keeper) logWaits(now time.Time) {
 	counts := make(map[cause]int)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -237,6 +237,7 @@
 
 // A position is what a stream has carried.
 type position struct {
+	named   bool   // who sends
 	change  uint64 // the last change of the local state
 	objects uint64 // the last change of the store's objects
 	engines uint64 // the last change of the engines' states
@@ -250,8 +251,12 @@
 		at.engines = 0
 	}
 	g, last := m.local.Gossip(After{Change: at.change, Objects: at.objects, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
-	g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
-	g.EnginesWithheld, g.Capacity = withhold, m.self.Capacity
+	if !at.named {
+		g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
+		g.Capacity = m.self.Capacity
+		at.named = true
+	}
+	g.EnginesWithheld = withhold
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g.Addresses = slices.Clone(m.met[at.met:])
@@ -308,6 +313,7 @@
 		if s.SetDeadline(time.Now().Add(2*AliveTime)) != nil || s.Receive(g) != nil {
 			return
 		}
+		g.Vm, g.Boot, g.Domain, g.Address, g.Capacity = first.Vm, first.Boot, first.Domain, first.Address, first.Capacity
 	}
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -191,3 +191,37 @@
 	assert.Assert(t, seen > 0)
 	assert.Assert(t, allocs < 1, "%v allocations", allocs)
 }
+
+// A recorder keeps the messages of a stream as they arrive.
+type recorder struct{ messages chan *wire.Gossip }
+
+// Serve implements peer.Handler.
+func (r recorder) Serve(call *wire.Call, s *peer.Stream) {
+	for g := call.GetGossip(); ; {
+		r.messages <- g
+		g = new(wire.Gossip)
+		if s.Receive(g) != nil {
+			return
+		}
+	}
+}
+
+// Only the first message of a stream names its sender: bytes between failure
+// domains have their price, and each VM of a large fleet sends to all others.
+func TestSendersAreNamedOnce(t *testing.T) {
+	a := startNode(t, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	hub := peer.New(nil, nil, log.WithField("n", "recorder"))
+	defer hub.Close()
+	r := recorder{messages: make(chan *wire.Gossip, 100)}
+	go hub.Serve(ln, r)
+	a.Contact(ln.Addr().String())
+	first, second := <-r.messages, <-r.messages
+	assert.Equal(t, first.Vm, "vm1")
+	assert.Equal(t, first.Address, a.addr)
+	assert.Equal(t, second.Vm+second.Boot+second.Domain+second.Address, "")
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -68,7 +69,7 @@
 		g.Manifest = uint64(m.Version)
 	}
 	for _, u := range s.tally.Changed(after.Change) {
-		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: float64(u.Total), Level: float64(u.Level)})
+		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: int64(math.Round(float64(u.Total))), Level: int64(u.Level)})
 	}
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
 		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
