--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -265,12 +265,11 @@
 
 // settle grants what there is room for.
 func (e *Engine) settle(now time.Time) {
+	e.expire(now)
 	slices.SortStableFunc(e.queue, func(a, b *ticket) int { return a.compare(b, now) })
 	waiting := e.queue[:0]
 	for _, t := range e.queue {
 		switch {
-		case !t.Deadline.After(now):
-			t.settle(Outcome{Reason: "no room in time, waited for: " + string(e.waitsFor(t, now)), Retry: e.roomIn(t, now)})
 		case e.fits(t) && e.serves(t, now):
 			e.admit(t, now)
 		case e.silent:
@@ -283,6 +282,17 @@
 	e.queue = waiting
 }
 
+// expire refuses the tickets that have waited until their deadline.
+func (e *Engine) expire(now time.Time) {
+	expired := func(t *ticket) bool { return !t.Deadline.After(now) }
+	for _, t := range e.queue {
+		if expired(t) {
+			t.settle(Outcome{Reason: "no room in time, waited for: " + string(e.waitsFor(t, now)), Retry: e.roomIn(t, now)})
+		}
+	}
+	e.queue = slices.DeleteFunc(e.queue, expired)
+}
+
 // fits tells whether the batch and the memory have room for a ticket.
 func (e *Engine) fits(t *ticket) bool {
 	if len(e.running) == 0 {
