Limits: a VM that is cut off alone uses its own part of the fleet, not a twentieth

A VM that heard nobody took itself for a twentieth of the fleet at least, so 23 of them used 115% of the limit, beside the 65% of the others.

Change: the part is one of the VMs known, without a least part. Calls that are larger than the burst of a part run on a full one, as before.

In fleets of up to 20 VMs nothing changes.

--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -24,8 +24,6 @@
 	// claimGrace is how much longer than it was told to wait a caller may take to
 	// come back to the tokens that are kept for it.
 	claimGrace = 300 * time.Millisecond
-	// minReach keeps a VM that hears nobody serving.
-	minReach = 0.05
 )
 
 // A Tally holds the limits of all workspaces over the fleet by counting: each
@@ -146,7 +144,7 @@
 			current++
 		}
 	}
-	reach := max(minReach, float64(len(heard)+1)/float64(max(1, known)))
+	reach := float64(len(heard)+1) / float64(max(len(heard)+1, known))
 	for _, e := range t.entries {
 		t.refill(e, now)
 		if reach < t.reach && e.level > 0 {
--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -263,3 +263,16 @@
 		}
 	})
 }
+
+// The load at which a third of 67 VMs was cut off one by one while a workspace sent
+// six times its usual: each of them took itself for a twentieth of the fleet, and
+// all together admitted more than the limit and a tenth.
+func TestTallyOfManyVMsCutOffOneByOne(t *testing.T) {
+	const vms, cut = 67, 23
+	f := newTallyFleet(vms, true)
+	f.hears = func(a, b int) bool { return a >= cut && b >= cut }
+	f.exchange()
+	f.send(8*time.Second, 2)
+	assert.Assert(t, f.admitted <= tallyAllowed(vms, 8, 2), "admitted %v", f.admitted)
+	assert.Assert(t, f.admitted >= 0.9*8*tallyRate, "admitted %v", f.admitted)
+}
