--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -276,3 +276,46 @@
 	assert.Assert(t, f.admitted <= tallyAllowed(vms, 8, 2), "admitted %v", f.admitted)
 	assert.Assert(t, f.admitted >= 0.9*8*tallyRate, "admitted %v", f.admitted)
 }
+
+// The load at which a workspace of a fleet of 67 asked for six times its limit, while
+// messages passed every 0.9 s: all VMs admitted at once what each thought was at
+// hand. In any 8 s the users allow the limit and a tenth, and 110,000 tokens at a
+// rate of 826,000 a second.
+func TestTallyOfALargeFleetUnderAHotWorkspace(t *testing.T) {
+	const (
+		vms     = 67
+		step    = 20 * time.Millisecond
+		passing = 900 * time.Millisecond
+		window  = 8 * time.Second
+		cost    = 11.1 // a long prompt of 9,190 tokens, at the rate of the test
+		demand  = 5.8  // times the limit
+	)
+	f := newTallyFleet(vms, true)
+	perStep := demand * tallyRate * step.Seconds() / cost
+	var steps []float64
+	due, next := 0.0, 0
+	for at := time.Duration(0); at < 3*window; at += step {
+		f.admitted = 0
+		for due += perStep; due >= 1; due-- {
+			next = (next + 1) % vms
+			if ok, _ := f.vms[next].Take("w", cost); ok {
+				f.admitted += cost
+			}
+		}
+		steps = append(steps, f.admitted)
+		f.clock.now = f.clock.now.Add(step)
+		if at%passing < step {
+			f.exchange()
+		}
+	}
+	most, sum := 0.0, 0.0
+	for i, n := range steps {
+		sum += n
+		if i >= int(window/step) {
+			sum -= steps[i-int(window/step)]
+		}
+		most = max(most, sum)
+	}
+	limit := 1.1*(tallyBurst+tallyRate*window.Seconds()) + 110_000.0/826_000*tallyRate
+	assert.Assert(t, most <= limit, "admitted %v in 8 s, %v allowed", most, limit)
+}
