--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
@@ -183,15 +184,27 @@
 	}
 	defer s.Close()
 	opened := m.clock.Now()
+	ended := func(reason string, message int) {
+		m.log.WithFields(logrus.Fields{
+			"addr": addr, "reason": reason, "sent_bytes": s.Sent(), "message_bytes": message, "open_ms": m.clock.Now().Sub(opened).Milliseconds(),
+		}).Warn("mesh: stream ended")
+	}
 	for {
 		if !m.waitTurn(ctx, addr, wake) {
 			return true
 		}
 		if now := m.clock.Now(); now.Sub(opened) > 2*AliveTime && !m.heardFrom(addr, now) {
+			ended("peer silent", 0)
 			m.hub.Discard(addr)
 			return false
 		}
-		if s.SetDeadline(time.Now().Add(sendTimeout)) != nil || s.Send(m.compose(&at, addr)) != nil {
+		g := m.compose(&at, addr)
+		err := s.SetDeadline(time.Now().Add(sendTimeout))
+		if err == nil {
+			err = s.Send(g)
+		}
+		if err != nil {
+			ended(err.Error(), proto.Size(g))
 			m.hub.Discard(addr)
 			return true
 		}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -15,6 +15,10 @@
 // gaugePace is the pause between readings of the gauges.
 const gaugePace = time.Second
 
+// lateTime is from when on a timer that fires late is logged: the process waits
+// for its processor, not for the network.
+const lateTime = 250 * time.Millisecond
+
 // metricsAddr returns the address for metrics: the first of the ports that are
 // the system's own.
 func (n *Node) metricsAddr() string {
@@ -37,7 +41,12 @@
 // observe brings the gauges up to date until ctx ends.
 func (n *Node) observe(ctx context.Context, dropped func() uint64) {
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, n.registry).Update(value) }
-	for pause.For(ctx, gaugePace) {
+	for due := n.clock.Now().Add(gaugePace); pause.For(ctx, gaugePace); due = n.clock.Now().Add(gaugePace) {
+		late := n.clock.Now().Sub(due)
+		set("Process.LateMs", late.Milliseconds())
+		if late > lateTime {
+			n.log.WithField("late_ms", late.Milliseconds()).Warn("node: timers fire late")
+		}
 		heard, known := n.mesh.Reach()
 		set("Mesh.Heard", int64(len(heard)+1))
 		set("Mesh.Known", int64(known))
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -145,7 +145,7 @@
 	}
 	s.tally.Heard(vm, boot, g.Settled, usages)
 	for _, o := range g.Objects {
-		s.table.Told(plank.Change{
+		s.table.Told(vm, plank.Change{
 			Object:   plank.Object{Key: o.Key, Value: o.Value, Version: plank.ObjectVersion(o.Version)},
 			Revision: plank.Revision(o.Revision),
 		})
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -37,6 +37,7 @@
 type Stream struct {
 	conn net.Conn
 	r    *bufio.Reader
+	sent int
 }
 
 func newStream(conn net.Conn) *Stream {
@@ -50,10 +51,14 @@
 	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
 		return err
 	}
-	_, err := s.conn.Write(buf.Bytes())
+	n, err := s.conn.Write(buf.Bytes())
+	s.sent += n
 	return err
 }
 
+// Sent returns how many bytes of messages were sent.
+func (s *Stream) Sent() int { return s.sent }
+
 // Receive reads one message.
 func (s *Stream) Receive(m proto.Message) error {
 	return protodelim.UnmarshalOptions{MaxSize: MaxMessage}.UnmarshalFrom(s.r, m)
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -26,10 +26,10 @@
 var _ Sink = (*Manifests)(nil)
 
 // Apply implements Sink.
-func (s *Manifests) Apply(changes []plank.Change, _ bool) {
-	for _, c := range changes {
+func (s *Manifests) Apply(b Batch) {
+	for _, c := range b.Changes {
 		if c.Object.Version > 0 {
-			s.put(c.Object)
+			s.put(c.Object, b.Source)
 		}
 	}
 }
@@ -37,17 +37,21 @@
 // Matters implements Sink.
 func (s *Manifests) Matters(c plank.Change) bool { return c.Object.Key == s.Key }
 
-func (s *Manifests) put(o plank.Object) {
+func (s *Manifests) put(o plank.Object, source string) {
 	if o.Key != s.Key {
 		return
 	}
+	begin := time.Now()
 	m, err := s.Dir.Manifest(o.Value)
 	if err != nil {
 		s.Log.WithField("revision", o.Version).WithError(err).Error("watch: unreadable configuration, the last one stays in force")
 		return
 	}
 	if s.View.SetManifest(m) {
-		s.Log.WithFields(logrus.Fields{"version": m.Version, "revision": o.Version, "routes": len(m.Routes)}).Info("watch: configuration in force")
+		s.Log.WithFields(logrus.Fields{
+			"version": m.Version, "revision": o.Version, "routes": len(m.Routes), "source": source,
+			"bytes": len(o.Value), "apply_ms": time.Since(begin).Milliseconds(),
+		}).Info("watch: configuration in force")
 	}
 }
 
@@ -61,9 +65,9 @@
 var _ Sink = (*Releases)(nil)
 
 // Apply implements Sink.
-func (s *Releases) Apply(changes []plank.Change, _ bool) {
+func (s *Releases) Apply(b Batch) {
 	var all []plank.Residency
-	for _, c := range changes {
+	for _, c := range b.Changes {
 		if c.Object.Version > 0 {
 			all = s.decode(all, c.Object)
 		}
@@ -115,13 +119,13 @@
 }
 
 // Apply implements Sink.
-func (s *Instances) Apply(changes []plank.Change, lost bool) {
+func (s *Instances) Apply(b Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if lost {
+	if b.Lost {
 		s.grace = s.clock.Now().Add(returnGrace)
 	}
-	for _, c := range changes {
+	for _, c := range b.Changes {
 		if c.Object.Version == 0 {
 			s.remove(s.id(c.Object))
 		} else {
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -9,12 +9,23 @@
 	"knapweedplank.org/plank"
 )
 
+// SourceStore is the source of changes that this VM read itself.
+const SourceStore = "store"
+
+// A Batch is changes that were learned together.
+type Batch struct {
+	Changes []plank.Change
+	// Source is SourceStore or the name of the peer that told of the changes.
+	Source string
+	// Lost is set for a list after the store did not answer or had lost its
+	// history.
+	Lost bool
+}
+
 // A Sink takes changes of the objects of one prefix, in order. It reports which
 // of them matter to other VMs.
 type Sink interface {
-	// Apply takes changes; lost tells that they come from a list after the
-	// store did not answer or had lost its history.
-	Apply(changes []plank.Change, lost bool)
+	Apply(Batch)
 	// Matters tells whether a change says something new beside counts.
 	Matters(c plank.Change) bool
 }
@@ -60,35 +71,35 @@
 			changes = append(changes, plank.Change{Object: plank.Object{Key: key}, Revision: rev})
 		}
 	}
-	t.apply(prefix, changes, lost)
+	t.apply(prefix, Batch{Changes: changes, Source: SourceStore, Lost: lost})
 }
 
-// Apply takes changes of a prefix.
+// Apply takes changes of a prefix from the store.
 func (t *Table) Apply(prefix string, changes []plank.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.apply(prefix, changes, false)
+	t.apply(prefix, Batch{Changes: changes, Source: SourceStore})
 }
 
 // Told takes a change from a peer.
-func (t *Table) Told(c plank.Change) {
+func (t *Table) Told(peer plank.VMID, c plank.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for prefix := range t.sinks {
 		if strings.HasPrefix(c.Object.Key, prefix) {
-			t.apply(prefix, []plank.Change{c}, false)
+			t.apply(prefix, Batch{Changes: []plank.Change{c}, Source: string(peer)})
 		}
 	}
 }
 
 // apply passes what is new to the sink. The lock is held.
-func (t *Table) apply(prefix string, changes []plank.Change, lost bool) {
+func (t *Table) apply(prefix string, b Batch) {
 	sink := t.sinks[prefix]
 	if sink == nil {
 		return
 	}
 	var fresh []plank.Change
-	for _, c := range changes {
+	for _, c := range b.Changes {
 		if known, ok := t.objects[c.Object.Key]; ok && c.Revision <= known.Revision {
 			continue
 		}
@@ -98,8 +109,9 @@
 		t.objects[c.Object.Key] = c
 		fresh = append(fresh, c)
 	}
-	if len(fresh) > 0 || lost {
-		sink.Apply(fresh, lost)
+	if len(fresh) > 0 || b.Lost {
+		b.Changes = fresh
+		sink.Apply(b)
 	}
 }
 
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -85,9 +85,9 @@
 	worker := plank.Instance{Service: "s", Addr: "a:1"}
 	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, worker)})
 	assert.Assert(t, f.has("e1"))
-	f.table.Told(plank.Change{Object: plank.Object{Key: "servers/e1"}, Revision: 9})
+	f.table.Told("peer", plank.Change{Object: plank.Object{Key: "servers/e1"}, Revision: 9})
 	assert.Assert(t, !f.has("e1"))
-	f.table.Told(change("servers/e1", 7, worker))
+	f.table.Told("peer", change("servers/e1", 7, worker))
 	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, worker)})
 	assert.Assert(t, !f.has("e1"))
 	f.table.Reset("servers/", []plank.Object{object("servers/e1", 12, worker)}, 12, false)
@@ -97,7 +97,7 @@
 // An older configuration never takes a newer one back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	f := newFixture()
-	f.table.Told(change("config/main", 20, plank.Manifest{Version: 7}))
+	f.table.Told("peer", change("config/main", 20, plank.Manifest{Version: 7}))
 	f.table.Apply("config/", []plank.Change{change("config/main", 18, plank.Manifest{Version: 6})})
 	f.table.Reset("config/", []plank.Object{object("config/main", 25, plank.Manifest{Version: 5})}, 25, true)
 	assert.Equal(t, f.view.Load().Manifest.Version, plank.ManifestVersion(7))
