--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,11 +96,7 @@
 	}
 	n.buildState()
 	n.buildClients()
-	n.hub = peer.New(net.ParseIP(settings.IP), nil, n.log)
-	self := mesh.Self{VM: settings.VM, Boot: n.boot, Domain: settings.Domain, Address: settings.Control, Capacity: capacity(settings)}
-	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
-	n.news.mesh = n.mesh
-	n.state.peers = n.mesh.Size
+	n.buildMesh(ctx, settings.Control)
 	n.duties = &dutyLoop{
 		n: n, leases: make(map[plank.DomainID]*duty.Lease), fenced: make(chan fencing, 16), aliveAt: make(map[plank.DomainID]time.Time), claimer: make(map[plank.DomainID]plank.VMID),
 	}
@@ -174,6 +170,16 @@
 	n.pool = conns.New(conns.Options{DialTimeout: dialTimeout, Clock: n.clock, Dialed: func() { dialed.Inc(1) }})
 }
 
+// buildMesh makes what connects this VM to the others, which reach it at addr.
+func (n *Node) buildMesh(ctx context.Context, addr string) {
+	s := n.settings
+	n.hub = peer.New(net.ParseIP(s.IP), nil, n.log)
+	self := mesh.Self{VM: s.VM, Boot: n.boot, Domain: s.Domain, Address: addr, Capacity: capacity(s)}
+	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
+	n.news.mesh = n.mesh
+	n.state.peers = n.mesh.Size
+}
+
 // buildKeeper makes the keeper of the engines that this VM orders.
 func (n *Node) buildKeeper(ctx context.Context) {
 	n.health = health.New(n.clock)
