Large objects of the store are announced and fetched, not sent by watchers to all

Cause: the VMs that watch the store sent each object whole to each VM of their domain, on the connection of heartbeats and reservations: 21 times 0.3 MB, five seconds of a link of 10 Mbit/s. Nothing bounded a message.

Evidence: 1,423 messages of 0.33 MB that ran into the time limit of a second; the domain with a watcher of 200 Mbit/s had the version after 0.7 s, the others only by reading the store themselves when their news were 2.7 s old.

Change: values over 16 KB are only announced, and each VM reads them from the store, or from the peer if the store does not answer it, which serves two VMs at a time in parts. A message holds at most 32 KB of objects; news count as fresh once all of them are told.

Why it works: each link carries a large value once, whatever the size of the domain. Reads of the store: one a VM and version.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -56,8 +56,8 @@
 // A Local composes this VM's part of a message.
 type Local interface {
 	// Gossip returns the state, with the parts that changed after the given
-	// changes, and the number of the last change that it covers.
-	Gossip(after After) (*wire.Gossip, uint64)
+	// changes, and the last changes that it covers.
+	Gossip(after After) (*wire.Gossip, Covered)
 	// Merge takes the parts of a peer's message that the mesh does not keep.
 	Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip)
 }
@@ -79,6 +79,14 @@
 	Brief bool
 }
 
+// Covered are the last changes that a message tells of.
+type Covered struct {
+	Change uint64
+	// Objects is the same for the store's objects. It is behind Change while the
+	// sender's news are old, or while they do not fit a message.
+	Objects uint64
+}
+
 // Self names this VM.
 type Self struct {
 	VM      plank.VMID
@@ -263,7 +271,7 @@
 	if withhold {
 		at.engines = 0
 	}
-	g, last := m.local.Gossip(After{Change: at.change, Objects: at.objects, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
+	g, covered := m.local.Gossip(After{Change: at.change, Objects: at.objects, Engines: at.engines, Withhold: withhold, Near: near, Brief: brief})
 	if !at.named {
 		g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
 		g.Capacity = m.self.Capacity
@@ -273,12 +281,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g.Addresses = slices.Clone(m.met[at.met:])
-	at.change, at.met = last, len(m.met)
+	at.change, at.objects, at.met = covered.Change, covered.Objects, len(m.met)
 	if !withhold {
-		at.engines = last
-	}
-	if g.NewsMicros >= 0 {
-		at.objects = last
+		at.engines = covered.Change
 	}
 	return g
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -34,23 +34,24 @@
 }
 
 // Gossip implements mesh.Local.
-func (l *local) Gossip(after mesh.After) (*wire.Gossip, uint64) {
+func (l *local) Gossip(after mesh.After) (*wire.Gossip, mesh.Covered) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := &wire.Gossip{NewsMicros: -1, Duties: l.duties}
 	if !after.Withhold && after.Engines < 1 {
 		g.Engines = l.states
 	}
+	covered := mesh.Covered{Change: 1, Objects: after.Objects}
 	switch {
 	case l.stale:
 		l.told++
 	default:
-		g.NewsMicros = 0
+		g.NewsMicros, covered.Objects = 0, 1
 		if l.object != nil && after.Objects < 1 {
 			g.Objects = []*wire.StoredObject{l.object}
 		}
 	}
-	return g, 1
+	return g, covered
 }
 
 // Merge implements mesh.Local.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	known   releaseTimes
 	table   *watch.Table
 	news    *watchPolicy
+	objects *objectSender
 
 	cancel   context.CancelFunc
 	callers  *http.Server
@@ -178,6 +179,10 @@
 	n.mesh = mesh.New(ctx, self, n.hub, n.state, n.clock, n.log)
 	n.news.mesh = n.mesh
 	n.state.peers = n.mesh.Size
+	n.objects = &objectSender{table: n.table}
+	n.state.fetcher = watch.NewFetcher(ctx, watch.FetchOptions{
+		Store: n.store, Table: n.table, Ask: n.askObject, Watches: n.news.mustWatch, Clock: n.clock, Log: n.log,
+	})
 }
 
 // buildKeeper makes the keeper of the engines that this VM orders.
@@ -363,6 +368,8 @@
 		n.mesh.Serve(body.Gossip, s)
 	case *wire.Call_Reserve:
 		n.broker.ServeReserve(body.Reserve, s)
+	case *wire.Call_Object:
+		n.objects.serve(body.Object, s)
 	default:
 		n.log.Warn("node: a peer made a call that is not known")
 	}
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -33,10 +33,37 @@
 	mu       sync.Mutex
 	sending  map[string]*rate.Limiter
 	receives map[string]*rate.Limiter
+	// storeless holds the VMs that are cut off from the store, and open the
+	// connections of the others to it.
+	storeless map[string]bool
+	open      map[net.Conn]string
 }
 
 func newLinks() *links {
-	return &links{sending: make(map[string]*rate.Limiter), receives: make(map[string]*rate.Limiter)}
+	return &links{
+		sending: make(map[string]*rate.Limiter), receives: make(map[string]*rate.Limiter), storeless: make(map[string]bool), open: make(map[net.Conn]string),
+	}
+}
+
+// cutStore cuts a VM off from the store.
+func (l *links) cutStore(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storeless[vm] = true
+	for c, owner := range l.open {
+		if owner == vm {
+			c.Close()
+		}
+	}
+}
+
+// toStore registers a connection to the store. It reports false if the VM is cut
+// off from it.
+func (l *links) toStore(vm string, c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = vm
+	return !l.storeless[vm]
 }
 
 // limiter returns one way of a VM's link. An IP number without a VM, as the
@@ -82,6 +109,9 @@
 		there = []*rate.Limiter{l.limiter(l.sending, caller), l.limiter(l.receives, vm)}
 		back = []*rate.Limiter{l.limiter(l.sending, vm), l.limiter(l.receives, caller)}
 	} else {
+		if !l.toStore(vm, in) {
+			return
+		}
 		there, back = []*rate.Limiter{l.limiter(l.sending, vm)}, []*rate.Limiter{l.limiter(l.receives, vm)}
 	}
 	// Small buffers, as windows of real links.
@@ -120,25 +150,25 @@
 // A domain is VMs of one failure domain on links of limited bandwidth.
 type slowDomain struct {
 	store *stand.Store
+	links *links
 	nodes []*Node
 }
 
 // startDomain starts the control side of n VMs, which follow one store.
 func startDomain(t *testing.T, n int) *slowDomain {
 	t.Helper()
-	d := &slowDomain{store: stand.NewStore()}
+	d := &slowDomain{store: stand.NewStore(), links: newLinks()}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: d.store}
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { server.Close() })
 	d.configure(1, 50, "")
-	l := newLinks()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var seed string
 	for i := range n {
-		node, addr := startControl(ctx, t, l, i, ln.Addr().String(), seed)
+		node, addr := startControl(ctx, t, d.links, i, ln.Addr().String(), seed)
 		d.nodes = append(d.nodes, node)
 		if seed == "" {
 			seed = addr
@@ -264,3 +294,16 @@
 	t.Logf("one route changed: %v", d.inForce(t, 3, configBound))
 	assert.Equal(t, d.heard(), vms-1, "a VM fell silent")
 }
+
+// VMs that are cut off from the store get a large configuration from those that
+// are not, a few at a time.
+func TestLargeConfigurationIsFetchedFromPeers(t *testing.T) {
+	const vms, connected = 8, 2
+	d := startDomain(t, vms)
+	d.settle(t)
+	for _, n := range d.nodes[connected:] {
+		d.links.cutStore(n.settings.IP)
+	}
+	d.configure(2, 1450, "")
+	t.Logf("%d VMs without the store: %v", vms-connected, d.inForce(t, 2, 10*time.Second))
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -15,6 +17,17 @@
 	"knapweedplank.org/plank/internal/wire"
 )
 
+// The sizes of what a message tells of the store's objects, in bytes. A VM sends
+// to all others of its domain, some twenty, on a link of 10 Mbit/s in the users'
+// grown sites, and heartbeats wait meanwhile.
+const (
+	// maxTold is the largest value that is told; of larger ones peers are told
+	// that they changed, and fetch them.
+	maxTold = 16 << 10
+	// maxObjects bounds the values in a message of more than one object.
+	maxObjects = 32 << 10
+)
+
 // A state composes what this VM tells the others and takes what they tell.
 type state struct {
 	changes atomic.Uint64
@@ -27,6 +40,7 @@
 	news    *watchPolicy
 	clock   plank.Clock
 	peers   func() int // how many VMs are known
+	fetcher *watch.Fetcher
 
 	mu      sync.Mutex
 	leaving bool
@@ -61,8 +75,8 @@
 }
 
 // Gossip implements mesh.Local.
-func (s *state) Gossip(after mesh.After) (*wire.Gossip, uint64) {
-	last := s.changes.Load()
+func (s *state) Gossip(after mesh.After) (*wire.Gossip, mesh.Covered) {
+	covered := mesh.Covered{Change: s.changes.Load(), Objects: after.Objects}
 	// Only the holders of duties need to know which adapters calls use.
 	g := &wire.Gossip{NewsMicros: -1, Settled: s.tally.Settled(), Flights: s.flights.All(!after.Brief)}
 	if m := s.view.Load().Manifest; m != nil {
@@ -73,8 +87,10 @@
 	}
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
 		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
-			g.NewsMicros = age.Microseconds()
-			g.Objects = s.changedObjects(after.Objects)
+			g.Objects, covered.Objects = s.changedObjects(after.Objects, covered.Change)
+			if covered.Objects == covered.Change {
+				g.NewsMicros = age.Microseconds()
+			}
 		}
 	}
 	s.mu.Lock()
@@ -90,7 +106,7 @@
 			})
 		}
 	}
-	return g, last
+	return g, covered
 }
 
 // changedEngines returns the states that changed. The lock is held.
@@ -109,22 +125,43 @@
 	return out
 }
 
-// changedObjects returns the objects of the store that changed.
-func (s *state) changedObjects(after uint64) []*wire.StoredObject {
+// changedObjects returns the objects of the store that changed after one change
+// and up to another, in the order of their changes, as many as fit a message. It
+// returns the last change that is covered.
+func (s *state) changedObjects(after, last uint64) ([]*wire.StoredObject, uint64) {
 	s.mu.Lock()
 	var keys []string
+	changes := make(map[string]uint64)
 	for key, change := range s.objects {
 		if change > after {
 			keys = append(keys, key)
+			changes[key] = change
 		}
 	}
 	s.mu.Unlock()
-	out := make([]*wire.StoredObject, 0, len(keys))
-	for _, key := range keys {
-		c := s.table.Get(key)
-		out = append(out, &wire.StoredObject{Key: key, Value: c.Object.Value, Version: uint64(c.Object.Version), Revision: uint64(c.Revision)})
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(changes[a], changes[b]) })
+	var out []*wire.StoredObject
+	size := 0
+	for i, key := range keys {
+		o := storedObject(s.table.Get(key))
+		size += len(o.Value)
+		if i > 0 && size > maxObjects {
+			return out, changes[keys[i-1]]
+		}
+		out = append(out, o)
 	}
-	return out
+	return out, last
+}
+
+// storedObject returns a change as peers are told of it, without a large value.
+func storedObject(c plank.Change) *wire.StoredObject {
+	o := &wire.StoredObject{Key: c.Object.Key, Version: uint64(c.Object.Version), Revision: uint64(c.Revision)}
+	if len(c.Object.Value) > maxTold {
+		o.Size = uint64(len(c.Object.Value))
+	} else {
+		o.Value = c.Object.Value
+	}
+	return o
 }
 
 // setObject tells the others that an object of the store changed. It is called
@@ -145,6 +182,10 @@
 	}
 	s.tally.Heard(vm, boot, g.Settled, usages)
 	for _, o := range g.Objects {
+		if o.Size > 0 {
+			s.fetcher.Announced(vm, o.Key, plank.Revision(o.Revision))
+			continue
+		}
 		s.table.Told(vm, plank.Change{
 			Object:   plank.Object{Key: o.Key, Value: o.Value, Version: plank.ObjectVersion(o.Version)},
 			Revision: plank.Revision(o.Revision),
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -82,12 +82,15 @@
 }
 
 // Told takes a change from a peer.
-func (t *Table) Told(peer plank.VMID, c plank.Change) {
+func (t *Table) Told(peer plank.VMID, c plank.Change) { t.fetched(string(peer), c) }
+
+// fetched takes a single change from a source.
+func (t *Table) fetched(source string, c plank.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for prefix := range t.sinks {
 		if strings.HasPrefix(c.Object.Key, prefix) {
-			t.apply(prefix, Batch{Changes: []plank.Change{c}, Source: string(peer)})
+			t.apply(prefix, Batch{Changes: []plank.Change{c}, Source: source})
 		}
 	}
 }
