Store: an answer's time is bounded by its progress, not by that of a small answer

Cause: one time limit for head and body, whatever the body's size.

Change: the limit of a call holds for the head and for each pause between bytes; 4 s for the whole body.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,9 @@
 // The times of a daemon.
 const (
 	storeTimeout = 700 * time.Millisecond
+	// transferTimeout bounds a whole answer of the store. Its largest, about 1 MB,
+	// takes a second on a link of 10 Mbit/s that carries nothing else.
+	transferTimeout = 4 * time.Second
 	// watchGrace is how long after the end of a watch's wait a connection that
 	// went silent is noticed.
 	watchGrace = 400 * time.Millisecond
@@ -158,7 +161,7 @@
 	dialer := net.Dialer{Timeout: storeTimeout, Control: conns.SetUserTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}
 	n.store = platform.NewStore(n.settings.Store, &http.Client{Transport: transport}, platform.StoreOptions{
-		CallTimeout: storeTimeout, WatchWait: n.news.pace.wait, WatchGrace: watchGrace,
+		CallTimeout: storeTimeout, TransferTimeout: transferTimeout, WatchWait: n.news.pace.wait, WatchGrace: watchGrace,
 		Called: func(op string, status int, err error) {
 			name := "Store." + op
 			if err != nil {
