Mesh: a VM that was heard is not given up at its first silence

Cause: the time for which silent VMs are tried counted from the last stream that had ended well, so after 30 s of one good stream the first silence of 1.8 s was the end. VMs of which both sides did so never met again.

Change: it counts from when the VM was last heard.

TestVMsAreNotGivenUpAtTheirFirstSilence fails before: the VMs do not hear each other 10 s after a cut of 3 s.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,7 +44,7 @@
 	goneTime = 15 * time.Second
 	// redialAfter is the pause before a VM that does not answer is tried again.
 	redialAfter = 300 * time.Millisecond
-	// forgetTime is how long a VM that never answers is tried.
+	// forgetTime is how long a VM that does not answer is tried.
 	forgetTime = 30 * time.Second
 	// maxSpread is the most states, of engines times VMs, that a holder tells all
 	// VMs; beyond it only other holders are told.
@@ -105,6 +105,8 @@
 	clock plank.Clock
 	log   *logrus.Entry
 	ctx   context.Context
+	// forget is how long a VM that does not answer is tried.
+	forget time.Duration
 
 	mu    sync.Mutex
 	peers map[plank.VMID]*Peer
@@ -119,7 +121,7 @@
 // New returns a mesh whose loops end with ctx.
 func New(ctx context.Context, self Self, hub *peer.Hub, local Local, clock plank.Clock, log *logrus.Entry) *Mesh {
 	m := &Mesh{
-		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx,
+		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx, forget: forgetTime,
 		peers: make(map[plank.VMID]*Peer), senders: make(map[string]chan struct{}),
 		engines: make(map[plank.EndpointID]Engine), lately: make(map[plank.EndpointID]*lately),
 	}
@@ -172,7 +174,10 @@
 			answered = m.clock.Now()
 		}
 		cancel()
-		if m.clock.Now().Sub(answered) > forgetTime {
+		if heard := m.lastHeard(addr); heard.After(answered) {
+			answered = heard
+		}
+		if m.clock.Now().Sub(answered) > m.forget {
 			m.log.WithField("addr", addr).Info("mesh: gave up an address that does not answer")
 			return
 		}
@@ -323,6 +328,20 @@
 	return false
 }
 
+// lastHeard returns when the VM at addr was last heard of; the zero time for
+// never.
+func (m *Mesh) lastHeard(addr string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var last time.Time
+	for _, p := range m.peers {
+		if p.Address == addr && p.Heard.After(last) {
+			last = p.Heard
+		}
+	}
+	return last
+}
+
 // Serve takes the messages of one stream.
 func (m *Mesh) Serve(first *wire.Gossip, s *peer.Stream) {
 	for g := first; ; {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/fault"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/store/memory"
@@ -69,13 +70,17 @@
 	local *local
 	hub   *peer.Hub
 	addr  string
+	proxy *fault.Proxy // before the node's address, if it was asked for
 	stop  func()
 }
 
 // Serve implements peer.Handler.
 func (n *node) Serve(call *wire.Call, s *peer.Stream) { n.Mesh.Serve(call.GetGossip(), s) }
 
-func startNode(t *testing.T, i int) *node {
+func startNode(t *testing.T, i int) *node { return start(t, i, false) }
+
+// start starts a VM, if wanted behind a proxy through which all others reach it.
+func start(t *testing.T, i int, behind bool) *node {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -83,6 +88,11 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{local: &local{heard: map[plank.VMID]int{}}, addr: ln.Addr().String()}
+	if behind {
+		n.proxy, err = fault.New("127.0.0.1:0", n.addr)
+		assert.NilError(t, err)
+		n.addr = n.proxy.Addr()
+	}
 	n.hub = peer.New(nil, nil, log.WithField("n", i))
 	self := mesh.Self{VM: plank.VMID(fmt.Sprint("vm", i)), Boot: plank.BootID(fmt.Sprint("b", i)), Domain: "d", Address: n.addr}
 	n.Mesh = mesh.New(ctx, self, n.hub, n.local, plank.SystemClock{}, log.WithField("n", i))
@@ -237,3 +247,31 @@
 	}
 	assert.Equal(t, a.Size(), 20)
 }
+
+// hearsOther tells whether the other of two VMs is heard.
+func (n *node) hearsOther() bool { heard, _ := n.Reach(); return len(heard) == 1 }
+
+// A VM that had been heard for longer than silent VMs are tried was given up at
+// its first silence and not contacted again, 1,358 times in a fleet that ran.
+func TestVMsAreNotGivenUpAtTheirFirstSilence(t *testing.T) {
+	const (
+		forget = 6 * time.Second
+		silent = 3 * time.Second // longer than a stream outlives it
+	)
+	a, b := start(t, 1, true), start(t, 2, true)
+	for _, n := range []*node{a, b} {
+		n.SetForget(forget)
+	}
+	a.Contact(b.addr)
+	began := time.Now()
+	eventually(t, "the VMs are heard", func() bool { return a.hearsOther() && b.hearsOther() && time.Since(began) > forget })
+	for _, n := range []*node{a, b} {
+		n.proxy.Set(fault.Mode{DropToTarget: true, DropToClient: true})
+	}
+	cut := time.Now()
+	eventually(t, "the VMs are silent", func() bool { return !a.hearsOther() && !b.hearsOther() && time.Since(cut) > silent })
+	for _, n := range []*node{a, b} {
+		n.proxy.Heal()
+	}
+	eventually(t, "the VMs are heard again", func() bool { return a.hearsOther() && b.hearsOther() })
+}
