Mesh: VMs find each other again after a cut in which both gave the other up

What callers would see: after a cut between failure domains of over 30 s, the VMs of the two sides never met again: limits parted for good, engines of the other side out of reach. The users' regions lose each other for minutes.

Cause: an address was forgotten when it was given up, and addresses are read from the store only at the start.

Change: addresses that were given up are probed every 5 s for an hour with one message.

TestVMsMeetAgainAfterALongCut fails before: the VMs are not heard again.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,8 +44,12 @@
 	goneTime = 15 * time.Second
 	// redialAfter is the pause before a VM that does not answer is tried again.
 	redialAfter = 300 * time.Millisecond
-	// forgetTime is how long a VM that does not answer is tried.
+	// forgetTime is how long a VM that does not answer is tried at full pace.
 	forgetTime = 30 * time.Second
+	// probeEvery is the pause between later attempts to reach it, and lostTime how
+	// long they go on: the users' regions lose each other for minutes.
+	probeEvery = 5 * time.Second
+	lostTime   = time.Hour
 	// maxSpread is the most states, of engines times VMs, that a holder tells all
 	// VMs; beyond it only other holders are told.
 	maxSpread = 300
@@ -105,13 +109,16 @@
 	clock plank.Clock
 	log   *logrus.Entry
 	ctx   context.Context
-	// forget is how long a VM that does not answer is tried.
+	// forget is how long a VM that does not answer is tried at full pace.
 	forget time.Duration
 
 	mu    sync.Mutex
 	peers map[plank.VMID]*Peer
 	// met lists the addresses of VMs that were heard, in the order of meeting.
 	met []string
+	// lost holds the addresses of VMs that were given up, and until when they are
+	// probed.
+	lost map[string]time.Time
 	// senders holds the addresses to which a loop sends, with its wake-up.
 	senders map[string]chan struct{}
 	engines map[plank.EndpointID]Engine
@@ -122,7 +129,7 @@
 func New(ctx context.Context, self Self, hub *peer.Hub, local Local, clock plank.Clock, log *logrus.Entry) *Mesh {
 	m := &Mesh{
 		self: self, hub: hub, local: local, clock: clock, log: log, ctx: ctx, forget: forgetTime,
-		peers: make(map[plank.VMID]*Peer), senders: make(map[string]chan struct{}),
+		peers: make(map[plank.VMID]*Peer), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}),
 		engines: make(map[plank.EndpointID]Engine), lately: make(map[plank.EndpointID]*lately),
 	}
 	go func() {
@@ -130,6 +137,11 @@
 			m.sweep()
 		}
 	}()
+	go func() {
+		for pause.For(ctx, probeEvery) {
+			m.probeLost()
+		}
+	}()
 	return m
 }
 
@@ -179,6 +191,7 @@
 		}
 		if m.clock.Now().Sub(answered) > m.forget {
 			m.log.WithField("addr", addr).Info("mesh: gave up an address that does not answer")
+			m.lose(addr)
 			return
 		}
 		pause.For(m.ctx, redialAfter)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -275,3 +275,25 @@
 	}
 	eventually(t, "the VMs are heard again", func() bool { return a.hearsOther() && b.hearsOther() })
 }
+
+// VMs that were cut off from each other for so long that both gave the other up
+// never met again.
+func TestVMsMeetAgainAfterALongCut(t *testing.T) {
+	const forget = 500 * time.Millisecond
+	a, b := start(t, 1, true), start(t, 2, true)
+	for _, n := range []*node{a, b} {
+		n.SetForget(forget)
+	}
+	a.Contact(b.addr)
+	eventually(t, "the VMs are heard", func() bool { return a.hearsOther() && b.hearsOther() })
+	for _, n := range []*node{a, b} {
+		n.proxy.Cut()
+	}
+	eventually(t, "the VMs are given up", func() bool { return a.Senders() == 0 && b.Senders() == 0 })
+	a.Probe() // in vain
+	for _, n := range []*node{a, b} {
+		n.proxy.Heal()
+	}
+	a.Probe()
+	eventually(t, "the VMs are heard again", func() bool { return a.hearsOther() && b.hearsOther() })
+}
