Answers without an end: heads, bodies and events of endpoints are bounded

What callers would see: an endpoint in trouble that sends bytes without end kills the VM that reads them, and a body of over 32 MB came cut and with a length as if it were whole.

Cause: the head of an answer was read without a bound, a body up to 32 MB each and then taken for complete, an event of a stream up to 1 MB.

What is longer counts as broken off: it may have run.

--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,7 +36,10 @@
 	inlineBody = 4 << 10
 	// maxStray bounds the answers to other requests that are skipped.
 	maxStray = 4
-	bufSize  = 4 << 10
+	// maxHead bounds the head of an answer, at four times what the users' sites
+	// take of a caller.
+	maxHead = 64 << 10
+	bufSize = 4 << 10
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 	tcpUserTimeout = 0x12
 )
@@ -76,7 +80,8 @@
 
 type conn struct {
 	net.Conn
-	br    *bufio.Reader
+	br    *bufio.Reader // of head
+	head  *headReader
 	until time.Time // when it may no longer be reused
 }
 
@@ -131,7 +136,28 @@
 	if p.opts.Dialed != nil {
 		p.opts.Dialed()
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, bufSize)}, nil
+	head := &headReader{r: nc}
+	return &conn{Conn: nc, head: head, br: bufio.NewReaderSize(head, bufSize)}, nil
+}
+
+// errLongHead reports an answer without an end of its head.
+var errLongHead = errors.New("the head of the answer is too long")
+
+// A headReader bounds the bytes that are read while a head is awaited.
+type headReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.limited && h.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := h.r.Read(p)
+	h.left -= n
+	return n, err
 }
 
 // write sends the request. The channel is closed once all of it is written; a
@@ -164,12 +190,17 @@
 // first are skipped, and reported, since more may follow.
 func (c *conn) read(r Request) (*http.Response, bool, error) {
 	req := &http.Request{Method: r.Method}
+	defer func() { c.head.limited = false }()
 	for stray := 0; ; stray++ {
+		c.head.limited, c.head.left = true, maxHead
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, false, err
 		}
 		if resp.StatusCode/100 == 1 {
+			if stray == maxStray {
+				return nil, false, errors.New("too many interim answers")
+			}
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
@@ -178,6 +209,7 @@
 		if resp.Close || stray == maxStray {
 			return nil, false, errors.New("the answer belongs to another request")
 		}
+		c.head.limited = false
 		if err := skip(resp); err != nil {
 			return nil, false, err
 		}
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -296,7 +295,7 @@
 	if a.err == nil {
 		defer a.reply.Body.Close()
 		if !isStream {
-			a.body, a.err = io.ReadAll(io.LimitReader(a.reply.Body, maxBody))
+			a.body, a.err = s.bodies.read(a.reply.Body)
 		}
 	}
 	a.result = s.classify(j, &a)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,8 +15,6 @@
 )
 
 const (
-	// maxBody bounds an answer of a plain service.
-	maxBody = 32 << 20
 	// patienceFactor is how many times the target an attempt may take, when
 	// the call may be sent to another endpoint.
 	patienceFactor = 2
@@ -147,7 +144,7 @@
 	a := attempt{inst: inst, reply: reply, err: err}
 	if err == nil {
 		defer reply.Body.Close()
-		a.body, a.err = io.ReadAll(io.LimitReader(reply.Body, maxBody))
+		a.body, a.err = s.bodies.read(reply.Body)
 	}
 	a.result = s.classify(j, &a)
 	s.judge(j, &a)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -52,7 +52,8 @@
 
 // A Server serves calls.
 type Server struct {
-	deps Deps
+	deps   Deps
+	bodies bodies
 }
 
 var _ plank.CallHandler = (*Server)(nil)
--- a/internal/sse/split.go
+++ b/internal/sse/split.go
@@ -7,8 +7,9 @@
 	"io"
 )
 
-// maxEvent bounds one event.
-const maxEvent = 1 << 20
+// maxEvent bounds one event, in bytes. Events hold a few tokens each; an engine in
+// trouble may send one without end on all of its streams.
+const maxEvent = 256 << 10
 
 // An Event is one event, byte for byte.
 type Event struct {
