Limits: a workspace at its limit is paced where messages are slow

Cause: messages take up to 0.9 s among so many VMs, and all of them admit meanwhile what each thinks is at hand. Use beyond two bursts was then forgiven.

Change: below three quarters of the burst a VM keeps to its part of the rate, by its part of what the workspace used lately, if messages come with pauses of 300 ms or more; the debt that is kept is six bursts.

--- a/internal/limit/tally.go
+++ b/internal/limit/tally.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -19,8 +20,20 @@
 	// restart, until it knows the others.
 	restartReach = 0.1
 	// maxDebt is how far the others' use can take a tally below zero, as a part
-	// of the burst.
-	maxDebt = 2.0
+	// of the burst: what a workspace that sends six times its limit, the most on the
+	// users' sites, gets in the second that messages take in a fleet of 67.
+	maxDebt = 6.0
+	// slowMessages is from what pause between the messages of a VM on workspaces
+	// are paced: what all VMs admit at once meanwhile is no small part of a burst.
+	slowMessages = 300 * time.Millisecond
+	// useTime is over how long use is averaged to find a VM's part of it: several
+	// times what messages take.
+	useTime = 4 * time.Second
+	// freeFill and pacedFill are the parts of a burst at hand above which a
+	// workspace is not paced, and below which it is paced in full.
+	freeFill, pacedFill = 0.75, 0.25
+	// messageWeight is the weight of one message in the mean pause between them.
+	messageWeight = 0.05
 	// claimGrace is how much longer than it was told to wait a caller may take to
 	// come back to the tokens that are kept for it.
 	claimGrace = 300 * time.Millisecond
@@ -45,6 +58,10 @@
 	// unheard counts the VMs whose messages have not been taken since they were
 	// silent or started.
 	unheard int
+	// vms counts the VMs that are heard, this one included.
+	vms int
+	// pause is the mean pause between the messages of a VM.
+	pause   time.Duration
 	entries map[plank.WorkspaceID]*tallyEntry
 	peers   map[plank.VMID]*peerTotals
 }
@@ -57,6 +74,11 @@
 	// withheld is the part of the limit that belongs to the VMs that are not
 	// heard, as it would be if they admitted nothing.
 	withheld float64
+	// own and others are what this VM and the others admitted, each token decaying
+	// over useTime.
+	own, others float64
+	// next is when a workspace that is paced may be admitted its next call here.
+	next time.Time
 	// claim is the cost of the largest call that was refused lately. Until
 	// claimed, smaller calls leave as much, so that large calls are not starved
 	// by small ones while a workspace is at its limit.
@@ -68,7 +90,8 @@
 }
 
 type peerTotals struct {
-	boot plank.BootID
+	boot  plank.BootID
+	heard time.Time // when its last message was taken
 	// silent is set while the VM is not heard: what it admits meanwhile comes
 	// out of what is withheld here.
 	silent bool
@@ -93,7 +116,7 @@
 		settles = clock.Now()
 	}
 	return &Tally{
-		settles: settles, clock: clock, fill: fill, reach: reach, unheard: unheard, stamp: stamp,
+		settles: settles, clock: clock, fill: fill, reach: reach, unheard: unheard, vms: 1, stamp: stamp,
 		entries: make(map[plank.WorkspaceID]*tallyEntry), peers: make(map[plank.VMID]*peerTotals),
 	}
 }
@@ -159,13 +182,16 @@
 		// been taken.
 		e.withheld = min(e.withheld, e.burst*(1-min(1, reach, t.reach)))
 	}
-	t.reach, t.unheard = reach, max(0, known-1-current)
+	t.reach, t.unheard, t.vms = reach, max(0, known-1-current), len(heard)+1
 }
 
 // refill brings an entry to now. The lock is held.
 func (t *Tally) refill(e *tallyEntry, now time.Time) {
 	seconds := max(0, now.Sub(e.at).Seconds())
 	e.at = now
+	decay := math.Exp(-seconds / useTime.Seconds())
+	e.own *= decay
+	e.others *= decay
 	e.level = min(e.level+e.rate*t.reach*seconds, max(e.level, e.burst*t.reach))
 	rest := 1 - min(1, t.reach)
 	e.withheld = min(e.withheld+e.rate*rest*seconds, max(e.withheld, e.burst*rest))
@@ -188,6 +214,10 @@
 	// A call that is larger than the burst runs on a full bucket.
 	need := min(max(float64(cost), e.claim), e.burst*t.reach)
 	if e.level >= need {
+		if now.Before(e.next) {
+			return false, e.next.Sub(now)
+		}
+		e.next = now.Add(t.gap(e, float64(cost)))
 		t.use(e, float64(cost))
 		return true, 0
 	}
@@ -198,6 +228,25 @@
 	return false, wait
 }
 
+// gap returns the pause after a call at which this VM keeps to its part of a
+// workspace's rate. In a large fleet messages take a second, and VMs that all admit
+// what each thinks is at hand admit several times the limit in it. A workspace with
+// much at hand is not paced, so that its calls may come at any VM. The lock is held.
+func (t *Tally) gap(e *tallyEntry, cost float64) time.Duration {
+	if t.pause < slowMessages || e.burst <= 0 {
+		return 0
+	}
+	paced := min(1, (freeFill-e.level/e.burst)/(freeFill-pacedFill))
+	if paced <= 0 {
+		return 0
+	}
+	part := 1 / float64(t.vms)
+	if used := e.own + e.others; used > 0 {
+		part = max(part, e.own/used)
+	}
+	return time.Duration(paced * cost / (part * e.rate * t.reach) * float64(time.Second))
+}
+
 // Refund gives back what a call took that did not run.
 func (t *Tally) Refund(ws plank.WorkspaceID, cost plank.Tokens) {
 	t.mu.Lock()
@@ -211,6 +260,7 @@
 func (t *Tally) use(e *tallyEntry, cost float64) {
 	e.level -= cost
 	e.total += cost
+	e.own = max(0, e.own+cost)
 	e.change = t.stamp()
 }
 
@@ -229,8 +279,10 @@
 	if first {
 		p = &peerTotals{boot: boot, totals: make(map[plank.WorkspaceID]float64)}
 		t.peers[vm] = p
+	} else {
+		t.pause += time.Duration(messageWeight * float64(now.Sub(p.heard)-t.pause))
 	}
-	p.silent = false
+	p.silent, p.heard = false, now
 	admitted := make(map[plank.WorkspaceID]float64, len(usages))
 	for _, u := range usages {
 		admitted[u.Workspace] = float64(u.Total) - p.totals[u.Workspace]
@@ -247,6 +299,7 @@
 		if e := t.entries[ws]; e != nil && e.rate > 0 {
 			t.refill(e, now)
 			e.level = max(e.level-n, -maxDebt*e.burst)
+			e.others = max(0, e.others+n)
 		}
 	}
 }
--- a/internal/limit/tally_test.go
+++ b/internal/limit/tally_test.go
@@ -318,4 +318,55 @@
 	}
 	limit := 1.1*(tallyBurst+tallyRate*window.Seconds()) + 110_000.0/826_000*tallyRate
 	assert.Assert(t, most <= limit, "admitted %v in 8 s, %v allowed", most, limit)
+	later := 0.0 // after the burst is paid back
+	for _, n := range steps[int(window/step):] {
+		later += n
+	}
+	assert.Assert(t, later >= 0.9*2*window.Seconds()*tallyRate, "admitted %v", later)
+}
+
+// In a large fleet, whose messages are slow, a workspace within its limit is not
+// refused, and one beyond it has the limit, wherever its calls come.
+func TestTallyOfALargeFleetWithUnevenCalls(t *testing.T) {
+	const (
+		vms     = 67
+		step    = 20 * time.Millisecond
+		passing = 900 * time.Millisecond
+		length  = 24 * time.Second
+		cost    = 11.1
+	)
+	for _, test := range []struct {
+		name   string
+		demand float64 // times the limit
+		at     int     // VMs to which the calls come
+		least  float64 // of the calls' cost, or of the limit, that is admitted
+	}{
+		{"half of the limit, everywhere", 0.5, vms, 1},
+		{"half of the limit, at ten VMs", 0.5, 10, 1},
+		{"half of the limit, at one VM", 0.5, 1, 1},
+		{"twice the limit, at ten VMs", 2, 10, 0.9},
+		{"twice the limit, at one VM", 2, 1, 0.9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newTallyFleet(vms, true)
+			offered, due, next := 0.0, 0.0, 0
+			for at := time.Duration(0); at < length; at += step {
+				for due += test.demand * tallyRate * step.Seconds() / cost; due >= 1; due-- {
+					// Every second call comes to the first of the VMs.
+					next++
+					vm := next / 2 % test.at * (next % 2)
+					offered += cost
+					if ok, _ := f.vms[vm].Take("w", cost); ok {
+						f.admitted += cost
+					}
+				}
+				f.clock.now = f.clock.now.Add(step)
+				if at%passing < step {
+					f.exchange()
+				}
+			}
+			owed := min(offered, tallyRate*length.Seconds())
+			assert.Assert(t, f.admitted >= test.least*owed, "admitted %v of %v", f.admitted, owed)
+		})
+	}
 }
