Watch: the pace of following the store counts the time that a large configuration takes

What callers would see: with the VMs frozen that watch the store, a change of a configuration of 0.3 MB in force after 3.2 s of 3 on links of 10 Mbit/s that carry calls besides.

Cause: 300 ms were kept for reading the store, whatever its size and the link.

Change: the pace is worked out from the bound less the time that the configuration in force takes on half of the VM's link, a third of the bound at most (0.48 s for 0.3 MB at 10 Mbit/s; a call every 1.26 s instead of 1.5).

TestVMsReadLargeConfigurationsInTime fails before: in force after 3.18 s.

--- a/internal/node/newspace.go
+++ b/internal/node/newspace.go
@@ -3,9 +3,25 @@
 import "time"
 
 // readTime is what a VM needs to read the store by itself, before the bound in
-// which a configuration must be in force.
+// which a configuration must be in force, and besides the time that a large
+// configuration takes on its link.
 const readTime = 300 * time.Millisecond
 
+// transferPart is the part of a link that is taken to be free for a configuration,
+// and maxTransfer the most of the bound that is kept for it.
+const (
+	transferPart = 0.5
+	maxTransfer  = 1.0 / 3
+)
+
+// transferTime returns how long bytes take on a link with other traffic.
+func transferTime(bytes int, linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) * 8 / (linkMbps * 1e6 * transferPart) * float64(time.Second))
+}
+
 // defaultBound is taken where the settings name no bound; the users' smaller
 // sites have it.
 const defaultBound = 2 * time.Second
@@ -37,12 +53,13 @@
 	oldest    time.Duration // age of news at which all watch
 }
 
-// paceFor returns the times for a bound in which a configuration must be in
-// force.
-func paceFor(bound time.Duration) newsPace {
+// paceFor returns the times for a bound in which a configuration must be in force
+// that takes a time to transfer.
+func paceFor(bound, transfer time.Duration) newsPace {
 	if bound <= readTime {
 		bound = defaultBound
 	}
+	bound -= min(transfer, time.Duration(maxTransfer*float64(bound)))
 	part := func(p float64) time.Duration { return time.Duration(p * float64(bound)) }
 	return newsPace{wait: part(waitPart), gather: part(gatherPart), successor: part(successorPart), oldest: max(0, bound-readTime)}
 }
--- a/internal/node/newspace_test.go
+++ b/internal/node/newspace_test.go
@@ -26,7 +26,7 @@
 		{"all, in time to keep the bound", 3 * time.Second, 21, 22, 2750 * time.Millisecond, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			assert.Equal(t, paceFor(test.bound).mustWatch(test.rank, test.alive, test.age), test.want)
+			assert.Equal(t, paceFor(test.bound, 0).mustWatch(test.rank, test.alive, test.age), test.want)
 		})
 	}
 }
@@ -39,7 +39,7 @@
 		prefixes  = 3
 		away      = 4500 * time.Millisecond
 	)
-	p := paceFor(3 * time.Second)
+	p := paceFor(3*time.Second, 0)
 	calls := 0
 	for rank := range perDomain {
 		at, failures := time.Duration(0), 0
@@ -56,3 +56,30 @@
 	every := perDomain * prefixes * int(away/firstRetry)
 	assert.Assert(t, calls < every/2, "%d calls of %d", calls, every)
 }
+
+// VMs whose watchers had fallen silent began to read the store in time for a small
+// configuration, and came late with one of 0.3 MB.
+func TestVMsReadLargeConfigurationsInTime(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		bound time.Duration
+		size  int
+		link  float64
+		least time.Duration // between two looks
+	}{
+		{"small", 3 * time.Second, 13_500, 10, 1400 * time.Millisecond},
+		{"1,450 routes", 3 * time.Second, 300_500, 10, 1200 * time.Millisecond},
+		{"1,450 routes, large link", 3 * time.Second, 300_500, 200, 1400 * time.Millisecond},
+		{"400 routes of a small site", 2 * time.Second, 85_000, 1000, 900 * time.Millisecond},
+		{"the largest object", 3 * time.Second, 1 << 20, 20, 900 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := paceFor(test.bound, transferTime(test.size, test.link))
+			// Half of the link is taken by calls.
+			reading := time.Duration(float64(test.size) * 8 / (test.link * 1e6 / 2) * float64(time.Second))
+			assert.Assert(t, p.oldest+reading <= test.bound, "in force after %v", p.oldest+reading)
+			assert.Assert(t, p.wait < p.successor && p.successor < p.oldest)
+			assert.Assert(t, p.wait >= test.least, "a call every %v", p.wait)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,7 +144,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.news = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, pace: paceFor(n.settings.Bounds.ConfigApply)}
+	n.news = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, bound: n.settings.Bounds.ConfigApply, link: n.settings.LinkMbps, view: n.view}
 	n.state.table, n.state.news, n.state.clock = n.table, n.news, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.tally = limit.NewTally(n.clock, n.settings.Bootstrap, n.state.stamp)
@@ -161,7 +161,7 @@
 	dialer := net.Dialer{Timeout: storeTimeout, Control: conns.SetUserTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}
 	n.store = platform.NewStore(n.settings.Store, &http.Client{Transport: transport}, platform.StoreOptions{
-		CallTimeout: storeTimeout, TransferTimeout: transferTimeout, WatchWait: n.news.pace.wait, WatchGrace: watchGrace,
+		CallTimeout: storeTimeout, TransferTimeout: transferTimeout, WatchWait: func() time.Duration { return n.news.pace().wait }, WatchGrace: watchGrace,
 		Called: func(op string, status int, err error) {
 			name := "Store." + op
 			if err != nil {
@@ -358,7 +358,7 @@
 	n.table.Add(platform.PrefixVersions, &watch.Releases{Dir: dir, View: n.view, Log: n.log})
 	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixServers, platform.PrefixVersions} {
 		n.news.add(watch.New(ctx, watch.Options{
-			Store: n.store, Prefix: prefix, Table: n.table, Pace: n.news.pace.gather, Active: n.news.mustWatch, Retry: n.news.retry, Clock: n.clock, Log: n.log,
+			Store: n.store, Prefix: prefix, Table: n.table, Pace: func() time.Duration { return n.news.pace().gather }, Active: n.news.mustWatch, Retry: n.news.retry, Clock: n.clock, Log: n.log,
 		}))
 	}
 	return instances
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -292,7 +292,7 @@
 	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		following := 0
 		for _, n := range d.nodes {
-			if time.Since(n.news.fresh()) < n.news.pace.wait+watchGrace {
+			if time.Since(n.news.fresh()) < n.news.pace().wait+watchGrace {
 				following++
 			}
 		}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -86,7 +86,7 @@
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: int64(math.Round(float64(u.Total))), Level: int64(u.Level)})
 	}
 	if fresh := s.news.fresh(); !fresh.IsZero() && (after.Near || s.peers() < smallFleet) {
-		if age := s.clock.Now().Sub(fresh); age < s.news.pace.oldest {
+		if age := s.clock.Now().Sub(fresh); age < s.news.pace().oldest {
 			g.Objects, covered.Objects = s.changedObjects(after.Objects, covered.Change)
 			if covered.Objects == covered.Change {
 				g.NewsMicros = age.Microseconds()
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/view"
 	"knapweedplank.org/plank/internal/watch"
 )
 
@@ -28,7 +29,11 @@
 	mesh   *mesh.Mesh
 	domain plank.DomainID
 	clock  plank.Clock
-	pace   newsPace
+	view   *view.Holder
+	// bound is the time in which a configuration must be in force, and link the
+	// bandwidth of this VM's link in Mbit/s.
+	bound time.Duration
+	link  float64
 
 	mu    sync.Mutex
 	loops []*watch.Loop
@@ -39,6 +44,16 @@
 	decideAt    time.Time
 }
 
+// pace returns the times of following the store, for a configuration of the size
+// of the one in force.
+func (r *watchPolicy) pace() newsPace {
+	size := 0
+	if m := r.view.Load().Manifest; m != nil {
+		size = m.Size
+	}
+	return paceFor(r.bound, transferTime(size, r.link))
+}
+
 // add takes a loop that follows the store.
 func (r *watchPolicy) add(l *watch.Loop) {
 	r.mu.Lock()
@@ -104,14 +119,14 @@
 		}
 	})
 	r.rank, r.alive = rank, alive
-	return r.pace.mustWatch(rank, alive, now.Sub(newest))
+	return r.pace().mustWatch(rank, alive, now.Sub(newest))
 }
 
 // retry returns the pause after a number of failed calls of the store in a row.
 func (r *watchPolicy) retry(failures int) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.pace.retry(r.rank, r.alive, failures)
+	return r.pace().retry(r.rank, r.alive, failures)
 }
 
 // watchWeight orders VMs for watching the store, alike on all VMs.
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -28,9 +28,9 @@
 	Store  plank.Store
 	Prefix string
 	Table  *Table
-	// Pace is the pause after each batch of events, so that events that come
+	// Pace returns the pause after each batch of events, so that events that come
 	// in quick succession cost one call.
-	Pace time.Duration
+	Pace func() time.Duration
 	// Active tells whether this VM is to call the store now.
 	Active func() bool
 	// Retry returns the pause after a number of failed calls in a row.
@@ -120,7 +120,7 @@
 		}
 		l.answered()
 		if len(changes) > 0 {
-			pause.For(ctx, l.opts.Pace)
+			pause.For(ctx, l.opts.Pace())
 		}
 	}
 	return false
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -47,6 +47,7 @@
 		s.Log.WithField("revision", o.Version).WithError(err).Error("watch: unreadable configuration, the last one stays in force")
 		return
 	}
+	m.Size = len(o.Value)
 	if s.View.SetManifest(m) {
 		s.Log.WithFields(logrus.Fields{
 			"version": m.Version, "revision": o.Version, "routes": len(m.Routes), "source": source,
--- a/manifest.go
+++ b/manifest.go
@@ -13,6 +13,8 @@
 	Services   map[ServiceID]Service
 	Workspaces []Workspace
 	Limits     CallLimits
+	// Size is the length of its stored form, in bytes.
+	Size int
 }
 
 // A RouteKind tells what may be repeated.
