Runner: an adapter is in use until the engine ends the request

Cause: a request counted as over with its last event ('[DONE]'). The engine ends it some time later, under load milliseconds, and an owner that had another adapter to load unloaded this one at once.

Change: the caller gets the end of its answer as before; the adapter and the place are free once the engine has ended the stream, or after a second.

TestAdapterIsInUseUntilTheEngineEndsTheRequest fails before.

--- a/engine.go
+++ b/engine.go
@@ -44,8 +44,10 @@
 type Engine interface {
 	// Generate runs the job and hands each chunk to emit, from job.Offset on,
 	// in order and without gap or repeat. It returns a *RefusalError if the
-	// engine refused and an *UnavailableError if the engine broke off.
-	Generate(ctx context.Context, job Job, emit func(Chunk) error) error
+	// engine refused and an *UnavailableError if the engine broke off. After a
+	// whole answer wait, which may be nil, returns once the engine has ended the
+	// request as well; until then ctx must not end, and wait must be called.
+	Generate(ctx context.Context, job Job, emit func(Chunk) error) (wait func(), err error)
 	// Load makes a model resident.
 	Load(ctx context.Context, m Model, term Term) error
 	// Unload removes a model.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,6 +20,9 @@
 	"knapweedplank.org/plank/internal/engine/openai"
 )
 
+// endTime bounds the wait for the end of a stream after its last event.
+const endTime = time.Second
+
 // maxLineBytes bounds one line of an engine's stream.
 const maxLineBytes = 1 << 20
 
@@ -52,10 +55,10 @@
 }
 
 // Generate implements plank.Engine.
-func (c *Client) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) error {
+func (c *Client) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) (wait func(), err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+job.Path, bytes.NewReader(job.Body))
 	if err != nil {
-		return eris.Wrap(err, "make request")
+		return nil, eris.Wrap(err, "make request")
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
@@ -65,13 +68,25 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return c.unavailable("generate", err)
+		return nil, c.unavailable("generate", err)
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return c.refusal(resp)
+		defer resp.Body.Close()
+		return nil, c.refusal(resp)
 	}
-	return c.readStream(resp.Body, job, emit)
+	if err := c.readStream(resp.Body, job, emit); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return func() { awaitEnd(resp.Body) }, nil
+}
+
+// awaitEnd reads a stream to its end after the last event, for endTime at most.
+func awaitEnd(body io.ReadCloser) {
+	timer := time.AfterFunc(endTime, func() { body.Close() })
+	defer timer.Stop()
+	defer body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxLineBytes)) // only the end matters
 }
 
 // refusal turns an engine's error status into an error.
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -36,10 +36,13 @@
 // run returns the indexes of the chunks that Generate hands over.
 func run(r reply, offset int) ([]int, error) {
 	var got []int
-	err := engine.New("e", "host:1", r, plank.Model.String).Generate(context.Background(), job(offset), func(c plank.Chunk) error {
+	wait, err := engine.New("e", "host:1", r, plank.Model.String).Generate(context.Background(), job(offset), func(c plank.Chunk) error {
 		got = append(got, c.Index)
 		return nil
 	})
+	if err == nil {
+		wait()
+	}
 	return got, err
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -192,10 +192,22 @@
 // *BrokenError if the engine broke off, and a *plank.UnavailableError if it
 // no longer answers.
 func (r *Runner) Submit(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) error {
+	// The caller's context ends with its answer, the engine's request may not.
+	caller := ctx
+	ctx, stop := context.WithCancelCause(context.WithoutCancel(caller))
+	detach := context.AfterFunc(caller, func() { stop(context.Cause(caller)) })
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
-	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
+	end := func() {
+		detach()
+		cancel()
+		stop(nil)
+	}
+	ending := false // the engine ends the request after its answer
+	defer func() {
+		if !ending {
+			end()
+		}
+	}()
 	w, err := r.enqueue(job, stop)
 	if err != nil {
 		return err
@@ -212,7 +224,7 @@
 		}
 		return plank.Refuse(plank.CodePatience, "patience ended while the request waited on endpoint %s", r.opts.Endpoint)
 	}
-	err = r.deps.Engine.Generate(ctx, w.job, func(c plank.Chunk) error {
+	wait, err := r.deps.Engine.Generate(ctx, w.job, func(c plank.Chunk) error {
 		r.endExclusive(w)
 		return emit(c)
 	})
@@ -227,6 +239,17 @@
 	if errors.As(err, &refused) && refused.Code == plank.CodeNoModel {
 		r.dropSlot(w.job.Model)
 	}
+	if err == nil && wait != nil {
+		// The caller has its answer; the adapter is in use for a little longer.
+		ending = true
+		detach()
+		go func() {
+			defer end()
+			wait()
+			r.finish(w, nil)
+		}()
+		return nil
+	}
 	r.finish(w, err)
 	return err
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -40,7 +40,7 @@
 }
 
 // Generate implements plank.Engine.
-func (e *fakeEngine) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) error {
+func (e *fakeEngine) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) (func(), error) {
 	done := make(chan struct{})
 	e.mu.Lock()
 	if _, ok := e.resident[job.Model]; !ok {
@@ -57,7 +57,7 @@
 	e.mu.Lock()
 	e.resident[job.Model]--
 	e.mu.Unlock()
-	return emit(plank.Chunk{})
+	return nil, emit(plank.Chunk{})
 }
 
 // Load implements plank.Engine.
--- a/internal/stand/model/options.go
+++ b/internal/stand/model/options.go
@@ -38,8 +38,12 @@
 	Crossed    int // the next n answers hold chunks twice and out of date
 	SlowLoads  int // the next n loads take slowLoad longer
 	FailLoads  int // the next n loads fail
+	SlowEnds   int // the next n answers end slowEnd after their last event
 }
 
+// slowEnd is how long a request with a slow end uses its adapter after its answer.
+const slowEnd = 30 * time.Millisecond
+
 // slowLoad is the time added to a slow load.
 const slowLoad = 2 * time.Second
 
--- a/internal/stand/model/server.go
+++ b/internal/stand/model/server.go
@@ -153,8 +153,11 @@
 	defer s.leave(row)
 	chat := r.URL.Path == "/v1/chat/completions"
 	s.mu.Lock()
-	wrong, crossed := take(&s.faults.WrongModel), take(&s.faults.Crossed)
+	wrong, crossed, slow := take(&s.faults.WrongModel), take(&s.faults.Crossed), take(&s.faults.SlowEnds)
 	s.mu.Unlock()
+	if slow {
+		defer time.Sleep(slowEnd)
+	}
 	named := m
 	if wrong {
 		named.Adapter += "-other"
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -165,3 +165,21 @@
 	assert.Equal(t, retried, 0, "runs that an engine was made to give up")
 	f.checkEngines()
 }
+
+// An adapter was evicted while the engine still ended the request that had used it:
+// the request counted as over with its last event. Seen once beside load in
+// TestPlannedStopCutsNothing.
+func TestAdapterIsInUseUntilTheEngineEndsTheRequest(t *testing.T) {
+	t.Parallel()
+	s := small()
+	s.daemons = 1
+	f := newFleet(t, s)
+	for _, e := range f.engines {
+		post(t, e.addr, "/test/faults", model.Faults{SlowEnds: 1 << 20})
+	}
+	tr := f.startTraffic(10, 23, f.daemons...)
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, tr.end(), 1.0)
+	tr.checkWhole()
+	f.checkEngines()
+}
