--- a/internal/mesh/lost.go
+++ b/internal/mesh/lost.go
@@ -19,8 +19,12 @@
 	}
 }
 
-// probeLost sends one message to each address that is lost. A VM that gets it
-// contacts this one, and is contacted once it is heard.
+// maxProbes is how many addresses are probed at once. One that answers is enough:
+// VMs tell each other whom they met.
+const maxProbes = 4
+
+// probeLost sends one message to some of the addresses that are lost. A VM that
+// gets it contacts this one, and is contacted once it is heard.
 func (m *Mesh) probeLost() {
 	for _, addr := range m.lostAddresses(m.clock.Now()) {
 		go func() {
@@ -35,8 +39,8 @@
 	}
 }
 
-// lostAddresses returns the addresses to probe, and drops those that are probed no
-// longer or are sent to again.
+// lostAddresses returns addresses to probe, in no order, and drops those that are
+// probed no longer or are sent to again.
 func (m *Mesh) lostAddresses(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -46,7 +50,9 @@
 			delete(m.lost, addr)
 			continue
 		}
-		out = append(out, addr)
+		if len(out) < maxProbes {
+			out = append(out, addr)
+		}
 	}
 	return out
 }
--- a/internal/watch/fetch.go
+++ b/internal/watch/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -14,8 +15,10 @@
 const (
 	// watchLead is how long a VM that watches the store waits for its own watch.
 	watchLead = 500 * time.Millisecond
-	// fetchRetry is the pause after neither the store nor a peer gave an object.
-	fetchRetry = 200 * time.Millisecond
+	// firstFetchRetry is the pause after neither the store nor a peer gave an
+	// object. It doubles up to maxFetchRetry.
+	firstFetchRetry = 200 * time.Millisecond
+	maxFetchRetry   = 2 * time.Second
 )
 
 // FetchOptions are what a fetcher depends on.
@@ -43,6 +46,9 @@
 	wanted map[string]announcement
 }
 
+// errOlder reports an object as it was before the announced change.
+var errOlder = errors.New("the object is older than announced")
+
 type announcement struct {
 	peer     plank.VMID
 	revision plank.Revision
@@ -55,11 +61,11 @@
 
 // Announced takes the news that a peer has a revision of an object.
 func (f *Fetcher) Announced(peer plank.VMID, key string, revision plank.Revision) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.opts.Table.Get(key).Revision >= revision {
+	if !f.opts.Table.follows(key) || f.opts.Table.Get(key).Revision >= revision {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	current, running := f.wanted[key]
 	if running && current.revision >= revision {
 		return
@@ -75,22 +81,27 @@
 	if f.opts.Watches() {
 		pause.For(f.ctx, watchLead)
 	}
-	for {
+	for retry := firstFetchRetry; ; {
 		a, wanted := f.next(key)
 		if !wanted {
 			return
 		}
 		begin := f.opts.Clock.Now()
 		c, source, err := f.get(key, a)
+		if err == nil && c.Revision < a.revision {
+			err = errOlder
+		}
 		if err == nil {
 			f.opts.Table.fetched(source, c)
 			f.opts.Log.WithFields(logrus.Fields{
 				"key": key, "revision": c.Revision, "source": source, "bytes": len(c.Object.Value), "took_ms": f.opts.Clock.Now().Sub(begin).Milliseconds(),
 			}).Info("watch: object fetched")
+			retry = firstFetchRetry
 			continue
 		}
 		f.opts.Log.WithFields(logrus.Fields{"key": key, "revision": a.revision, "peer": a.peer}).WithError(err).Warn("watch: object not fetched")
-		pause.For(f.ctx, fetchRetry)
+		pause.For(f.ctx, retry)
+		retry = min(2*retry, maxFetchRetry)
 	}
 }
 
@@ -110,8 +121,11 @@
 func (f *Fetcher) get(key string, a announcement) (plank.Change, string, error) {
 	o, err := f.opts.Store.Get(f.ctx, key)
 	if err == nil {
-		// An object that is gone was deleted after the announced change.
-		return plank.Change{Object: o, Revision: max(a.revision, plank.Revision(o.Version))}, SourceStore, nil
+		if o.Version == 0 {
+			// It was deleted after the announced change.
+			return plank.Change{Object: o, Revision: a.revision}, SourceStore, nil
+		}
+		return plank.Change{Object: o, Revision: plank.Revision(o.Version)}, SourceStore, nil
 	}
 	f.opts.Log.WithField("key", key).WithError(err).Info("watch: object not read from the store, asking a peer")
 	c, err := f.opts.Ask(f.ctx, a.peer, key, a.revision)
--- a/internal/watch/fetch_test.go
+++ b/internal/watch/fetch_test.go
@@ -93,3 +93,33 @@
 		})
 	}
 }
+
+// An announcement that cannot be followed costs no endless calls: of a key that
+// this VM does not keep, or of a revision that is older where it is read.
+func TestFetchWithoutProgress(t *testing.T) {
+	for _, test := range []struct {
+		name, key string
+		most      int // reads in half a second
+	}{
+		{"a key that is not kept", "other/x", 0},
+		{"an older revision", "config/main", 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture()
+			o := &origin{Store: memory.New()}
+			_, err := o.Put(context.Background(), "config/main", object("", 0, plank.Manifest{Version: 7}).Value, 0)
+			assert.NilError(t, err)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			fetcher := watch.NewFetcher(ctx, watch.FetchOptions{
+				Store: o, Table: f.table, Ask: o.ask, Watches: func() bool { return false }, Clock: plank.SystemClock{}, Log: log.WithField("t", 1),
+			})
+			fetcher.Announced("peer", test.key, 1000)
+			time.Sleep(500 * time.Millisecond)
+			reads, _ := o.counts()
+			assert.Assert(t, reads <= test.most, "%d reads", reads)
+		})
+	}
+}
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// follows tells whether a sink takes the objects of a key's prefix.
+func (t *Table) follows(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for prefix := range t.sinks {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns the newest change of a key.
 func (t *Table) Get(key string) plank.Change {
 	t.mu.Lock()
