--- a/internal/watch/fetch_test.go
+++ b/internal/watch/fetch_test.go
@@ -54,6 +54,17 @@
 	return o.reads, o.asked
 }
 
+// newFetcher returns a fetcher of a VM that does not watch the store.
+func newFetcher(t *testing.T, f *fixture, o *origin) *watch.Fetcher {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return watch.NewFetcher(ctx, watch.FetchOptions{
+		Store: o, Table: f.table, Ask: o.ask, Watches: func() bool { return false }, Clock: plank.SystemClock{}, Log: log.WithField("t", 1),
+	})
+}
+
 func TestFetch(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -70,13 +81,7 @@
 			o := &origin{Store: memory.New(), away: test.away, busy: test.busy, peer: change("config/main", 1, plank.Manifest{Version: 7})}
 			_, err := o.Put(context.Background(), "config/main", object("", 0, plank.Manifest{Version: 7}).Value, 0)
 			assert.NilError(t, err)
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			fetcher := watch.NewFetcher(ctx, watch.FetchOptions{
-				Store: o, Table: f.table, Ask: o.ask, Watches: func() bool { return false }, Clock: plank.SystemClock{}, Log: log.WithField("t", 1),
-			})
+			fetcher := newFetcher(t, f, o)
 			for range 5 { // announced by several peers, and again
 				fetcher.Announced("peer", "config/main", 1)
 			}
@@ -109,13 +114,7 @@
 			o := &origin{Store: memory.New()}
 			_, err := o.Put(context.Background(), "config/main", object("", 0, plank.Manifest{Version: 7}).Value, 0)
 			assert.NilError(t, err)
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			fetcher := watch.NewFetcher(ctx, watch.FetchOptions{
-				Store: o, Table: f.table, Ask: o.ask, Watches: func() bool { return false }, Clock: plank.SystemClock{}, Log: log.WithField("t", 1),
-			})
+			fetcher := newFetcher(t, f, o)
 			fetcher.Announced("peer", test.key, 1000)
 			time.Sleep(500 * time.Millisecond)
 			reads, _ := o.counts()
