--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -84,8 +84,7 @@
 	return !l.storeless[vm]
 }
 
-// limiter returns one way of a VM's link. An IP number without a VM, as the
-// store's, has no limit.
+// limiter returns one way of the link of the VM with an IP number.
 func (l *links) limiter(way map[string]*rate.Limiter, ip string) *rate.Limiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -95,8 +94,9 @@
 	return way[ip]
 }
 
-// proxy listens on an IP number of a VM and passes connections on to target. With
-// toVM the VM is the one that accepts; else it is the one that dials.
+// proxy passes connections on to target over a VM's link. With toVM the VM is the
+// one that accepts, and the dialling VM's link counts as well; else the VM dials the
+// store, whose link has no limit.
 func (l *links) proxy(t *testing.T, vm, target string, toVM bool) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -170,7 +170,7 @@
 // in force.
 const configBound = 3 * time.Second
 
-// A domain is VMs of one failure domain on links of limited bandwidth.
+// A slowDomain is the VMs of one failure domain, on links of limited bandwidth.
 type slowDomain struct {
 	store *stand.Store
 	links *links
