Mesh: only a VM that is heard counts as one that answers

Cause: a message that was written before the connection broke counted as an answer, so an address where something accepts connections and closes them, as the test's proxy does when it is cut, was never given up and counted as a VM of the fleet. Whether the write or the break came first decided the test.

Change: an address is given up by when its VM was last heard; a VM that gets messages sends its own.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -297,3 +297,27 @@
 	a.Probe()
 	eventually(t, "the VMs are heard again", func() bool { return a.hearsOther() && b.hearsOther() })
 }
+
+// An address that accepts connections and closes them, as one that is used by
+// something else, was never given up: what was written counted as an answer.
+func TestAddressesWithoutAVMAreGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.CopyN(io.Discard, c, 64) // what comes does not matter
+			}()
+		}
+	}()
+	a := startNode(t, 1)
+	a.SetForget(500 * time.Millisecond)
+	a.Contact(ln.Addr().String())
+	eventually(t, "the address is given up", func() bool { return a.Senders() == 0 })
+}
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -15,13 +15,12 @@
 
 // sendTo sends to one address until the VM there is given up.
 func (m *Mesh) sendTo(addr string, wake <-chan struct{}) {
-	answered := m.clock.Now()
+	answered := m.clock.Now() // or first tried
 	for m.ctx.Err() == nil {
 		ctx, cancel := context.WithCancel(m.ctx)
-		if m.stream(ctx, addr, wake) {
-			answered = m.clock.Now()
-		}
+		m.stream(ctx, addr, wake)
 		cancel()
+		// A VM that gets messages sends its own.
 		if heard := m.lastHeard(addr); heard.After(answered) {
 			answered = heard
 		}
@@ -35,14 +34,13 @@
 }
 
 // stream sends messages on one stream until it fails, or until the VM was not
-// heard of for so long that the connection is in doubt. It reports whether any
-// message went out.
-func (m *Mesh) stream(ctx context.Context, addr string, wake <-chan struct{}) bool {
+// heard of for so long that the connection is in doubt.
+func (m *Mesh) stream(ctx context.Context, addr string, wake <-chan struct{}) {
 	at := position{}
 	g := m.compose(&at, addr)
 	s, err := m.hub.Open(ctx, addr, &wire.Call{Body: &wire.Call_Gossip{Gossip: g}})
 	if err != nil {
-		return false
+		return
 	}
 	defer s.Close()
 	opened := m.clock.Now()
@@ -53,12 +51,12 @@
 	}
 	for {
 		if !m.waitTurn(ctx, addr, wake) {
-			return true
+			return
 		}
 		if now := m.clock.Now(); now.Sub(opened) > 2*AliveTime && !m.heardFrom(addr, now) {
 			ended("peer silent", 0)
 			m.hub.Discard(addr)
-			return false
+			return
 		}
 		g := m.compose(&at, addr)
 		err := s.SetDeadline(time.Now().Add(sendTimeout))
@@ -68,7 +66,7 @@
 		if err != nil {
 			ended(err.Error(), proto.Size(g))
 			m.hub.Discard(addr)
-			return true
+			return
 		}
 	}
 }
