Holders work out once what engines offer to calls that wait

Cause: for each call that waited without room a holder looked at all engines, and for each of these at its whole queue: 0.7 s of a core for 1,880 waiting calls, many times a second, and nothing moved. A holder that woke from a freeze had that many, and did nothing else for up to 19 s: no store, no heartbeats, no lease.

Change: what an engine offers is worked out once a pass. The moves are the same.

TestManyWaitingCallsAreLookedAtOnce fails before: 322 allocations for each call that waits, two seconds for the pass; after, 0.02 s.

--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -23,18 +23,34 @@
 // cold tells whether another load from the weight store may begin.
 func moves(engines []*Engine, now time.Time, cold bool) []move {
 	var out []move
-	taken := make(map[*Engine]bool)
+	// Thousands of tickets may wait, so what an engine has to offer is not worked
+	// out for each of them.
+	offers := make(map[*Engine]offer, len(engines))
+	for _, e := range engines {
+		offers[e] = e.offer(now)
+	}
 	for _, e := range engines {
 		for _, t := range e.stuck(now) {
-			if to := best(engines, t, now, func(o *Engine) bool { return o != e && !taken[o] && o.takes(t, now, cold) }); to != nil {
+			if to := best(engines, t, now, func(o *Engine) bool { return o != e && o.takes(t, now, cold, offers[o]) }); to != nil {
 				out = append(out, move{ticket: t, to: to})
-				taken[to] = true
+				delete(offers, to)
 			}
 		}
 	}
 	return out
 }
 
+// An offer is what an engine has for tickets that wait elsewhere.
+type offer struct {
+	usable bool
+	place  bool // for an adapter that is not there
+}
+
+func (e *Engine) offer(now time.Time) offer {
+	usable := e.isOrderable() && !e.isAvoided()
+	return offer{usable: usable, place: usable && !now.Before(e.calm) && e.openings(now) > e.wantedPlaces()}
+}
+
 // best returns the engine with the least cost for a ticket among those allowed.
 func best(engines []*Engine, t *ticket, now time.Time, allowed func(*Engine) bool) *Engine {
 	w := pick.Work{Adapter: t.Adapter, Prompt: t.Prompt, Output: t.Output, Target: t.Target.Sub(now)}
@@ -114,14 +130,14 @@
 
 // takes tells whether a ticket that waits elsewhere could begin here at once, or
 // after its adapter's load.
-func (e *Engine) takes(t *ticket, now time.Time, cold bool) bool {
-	if !e.isOrderable() || !e.fits(t) || e.isAvoided() {
+func (e *Engine) takes(t *ticket, now time.Time, cold bool, o offer) bool {
+	if !o.usable || !e.fits(t) {
 		return false
 	}
 	if p := e.places[t.Adapter]; p != nil {
 		return p.state == resident && !e.isStale(p, now, t.Version)
 	}
-	return (cold || e.recent.Has(t.Adapter)) && e.openings(now) > e.wantedPlaces() && !now.Before(e.calm)
+	return o.place && (cold || e.recent.Has(t.Adapter))
 }
 
 // moveTo makes a ticket wait at another engine.
--- a/internal/grant/move_test.go
+++ b/internal/grant/move_test.go
@@ -1,6 +1,7 @@
 package grant_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,29 @@
 	assert.Assert(t, call.Settled != nil && call.Settled.Granted)
 	assert.Equal(t, call.Where(), plank.EndpointID("room"))
 }
+
+// The load after which a holder that had been frozen for three seconds did nothing
+// else for up to nineteen: some thousand calls had come meanwhile, and for each it
+// looked at all engines' queues, many times a second.
+func TestManyWaitingCallsAreLookedAtOnce(t *testing.T) {
+	const engines, waiting = 47, 40 // of a domain of the users' grown sites; at each engine
+	var ids []string
+	for i := range engines {
+		ids = append(ids, fmt.Sprint("e", i))
+	}
+	d := newDomain(ids...)
+	for i, w := range d.worlds {
+		for n := range limits.MaxAdapters {
+			w.ask(i*10+n, 0) // keeps its place
+		}
+	}
+	d.advance(700 * time.Millisecond)
+	for i, w := range d.worlds {
+		for n := range waiting {
+			w.ask(1000+i*waiting+n, 0)
+		}
+	}
+	allocs := testing.AllocsPerRun(1, func() { assert.Equal(t, grant.Move(d.engines, d.worlds[0].now), 0) })
+	perCall := allocs / (engines * waiting)
+	assert.Assert(t, perCall < 10, "%v allocations for each call that waits", perCall)
+}
