--- a/internal/wire/generate.go
+++ b/internal/wire/generate.go
@@ -2,4 +2,4 @@
 // generated code is committed; DEVELOPERS.md describes how to generate it again.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative wire.proto
+//go:generate wiregen protoc-gen-go wire.proto
