mesh: relays carry the state of large fleets

Cause: each VM sent to each other at a pace of 6 ms a peer, doubled between domains.

Change: in fleets of 32 VMs and more each domain has two relays, ranked by capacity on all VMs. A VM sends to its domain's relays; these forward records of other VMs to their domain and to one relay of each other domain. Messages are numbered, so records that come twice or late count once and the age of a dead VM grows on all paths. Relays watch the store first; VMs that start leave the store to them for a moment, and write their member record without reading all others.

Dead VMs, dead relays, cut domains and random faults have tests in virtual time.

--- a/internal/limit/gossip_limiter.go
+++ b/internal/limit/gossip_limiter.go
@@ -63,7 +63,8 @@
 	unsynced int
 	// reachableVMs counts the reachable VMs, including this one.
 	reachableVMs int
-	// messageInterval is the mean time between two messages of a VM.
+	// messageInterval is the mean time between two messages of a VM, and until they
+	// arrive.
 	messageInterval time.Duration
 	entries         map[plank.WorkspaceID]*workspaceState
 	peers           map[plank.VMID]*peerUsage
@@ -270,11 +271,12 @@
 	e.lastChange = g.nextChange()
 }
 
-// MergeUsages merges a message of another VM. What that VM admitted since its
+// MergeUsages merges a message of another VM, which a relay received age ago if it was
+// forwarded. What that VM admitted since its
 // previous message is deducted, unless it was unreachable in between: then it used
 // its own part of the limit, and the rest of that part is added. A VM that has just
 // started adopts the levels of one that is settled.
-func (g *GossipLimiter) MergeUsages(vm plank.VMID, boot plank.BootID, settled bool, usages []Usage) {
+func (g *GossipLimiter) MergeUsages(vm plank.VMID, boot plank.BootID, settled bool, usages []Usage, age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[vm]
@@ -286,7 +288,7 @@
 		p = &peerUsage{boot: boot, totals: make(map[plank.WorkspaceID]float64)}
 		g.peers[vm] = p
 	} else {
-		g.messageInterval += time.Duration(intervalWeight * float64(now.Sub(p.lastMessage)-g.messageInterval))
+		g.messageInterval += time.Duration(intervalWeight * float64(now.Sub(p.lastMessage)+age-g.messageInterval))
 	}
 	p.unreachable, p.lastMessage = false, now
 	admitted := make(map[plank.WorkspaceID]float64, len(usages))
--- a/internal/limit/gossip_limiter_test.go
+++ b/internal/limit/gossip_limiter_test.go
@@ -58,7 +58,7 @@
 				continue
 			}
 			reachable = append(reachable, plank.VMID(fmt.Sprint(b)))
-			to.MergeUsages(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), from.Settled(), from.ChangedSince(0))
+			to.MergeUsages(plank.VMID(fmt.Sprint(a)), plank.BootID(fmt.Sprint(f.boots[a])), from.Settled(), from.ChangedSince(0), 0)
 		}
 		from.SetReachable(reachable, len(f.vms))
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,6 +1,7 @@
 // Package mesh exchanges state between the VMs of a fleet. Each VM sends its
-// state to all others on long-lived streams, soon after a change and otherwise
-// at a fixed interval, so that a failed VM is detected by its silence.
+// state on long-lived streams, soon after a change and otherwise at a fixed
+// interval, so that a failed VM is detected by its silence: to all others in a
+// small fleet, by relays in a large one.
 package mesh
 
 import (
@@ -12,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/pause"
-	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -31,6 +31,18 @@
 	// largeFleet is the least number of VMs at which messages to other failure domains
 	// are sent at half the rate.
 	largeFleet = 17
+	// relayInterval and relayCrossInterval are the intervals of messages to VMs of the
+	// same and of other domains in a fleet with relays.
+	relayInterval      = 180 * time.Millisecond
+	relayCrossInterval = 300 * time.Millisecond
+	// planInterval is the interval at which the targets are chosen, and targetLinger how
+	// long a stream stays open to a VM that is no longer a target.
+	planInterval = 100 * time.Millisecond
+	targetLinger = 2 * time.Second
+	// relayTimeout is how much longer than other VMs of its domain a VM may be silent to
+	// be taken for a relay, and shunTime how long a relay that was silent is not.
+	relayTimeout = 1500 * time.Millisecond
+	shunTime     = 3 * time.Second
 	// AliveTimeout is how long a VM counts as alive after a message: four messages
 	// may be late or lost.
 	AliveTimeout = 900 * time.Millisecond
@@ -62,8 +74,9 @@
 	// Gossip returns the state, including the parts that changed after the changes
 	// given in the options, and the last changes that it covers.
 	Gossip(opts GossipOptions) (*wire.Gossip, Covered)
-	// Merge applies the parts of a peer's message that the mesh does not store.
-	Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip)
+	// Merge applies the parts of a VM's message that the mesh does not store. age is
+	// how long ago a relay received it, if it was forwarded.
+	Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip, age time.Duration)
 }
 
 // GossipOptions select the contents of a message by what its stream has already
@@ -81,8 +94,10 @@
 	// SameDomain is set when the receiver is in the same failure domain.
 	SameDomain bool
 	// OmitEngineCalls leaves out the counts of calls on engines. It is set for
-	// receivers in a large fleet that hold no lease.
+	// receivers in a large fleet that hold no lease and are no relays.
 	OmitEngineCalls bool
+	// Relaying is set if this VM forwards what it receives to its domain.
+	Relaying bool
 }
 
 // Covered gives the numbers of the changes up to which a message is complete.
@@ -106,7 +121,7 @@
 // A Mesh exchanges state with the other VMs. It is safe for concurrent use.
 type Mesh struct {
 	self      Self
-	transport *peer.Transport
+	transport Transport
 	local     LocalState
 	clock     plank.Clock
 	log       *logrus.Entry
@@ -114,11 +129,26 @@
 	// giveUpTimeout is the silence after which an address is only probed.
 	giveUpTimeout time.Duration
 
+	// composeMu makes the numbers of messages follow the order of their contents, and
+	// mergeMu the local state merge a VM's messages in the order of their numbers.
+	composeMu, mergeMu sync.Mutex
+	sequence           uint64 // number of the last message
+
 	mu    sync.Mutex
 	peers map[plank.VMID]*Peer
+	// changes is the number of the last change of a peer's state.
+	changes uint64
 	// addresses lists the addresses of all VMs that sent a message, in the order of their
 	// first messages.
 	addresses []string
+	// contacts holds the addresses that this VM sends to in a small fleet, and seeds
+	// those that it was given.
+	contacts map[string]bool
+	seeds    []string
+	// topology is used in a large fleet. targetUntil maps the addresses to send to to the
+	// time until which streams to them stay open.
+	topology    topology
+	targetUntil map[string]time.Time
 	// lost maps each address that was silent for giveUpTimeout to the time until
 	// which it is probed.
 	lost map[string]time.Time
@@ -129,10 +159,10 @@
 }
 
 // New returns a mesh whose loops end with ctx.
-func New(ctx context.Context, self Self, transport *peer.Transport, local LocalState, clock plank.Clock, log *logrus.Entry) *Mesh {
+func New(ctx context.Context, self Self, transport Transport, local LocalState, clock plank.Clock, log *logrus.Entry) *Mesh {
 	m := &Mesh{
 		self: self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout,
-		peers: make(map[plank.VMID]*Peer), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}),
+		peers: make(map[plank.VMID]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
 		engines: make(map[plank.EndpointID]Engine), recent: make(map[plank.EndpointID]*recentAdapters),
 	}
 	go func() {
@@ -145,29 +175,39 @@
 			m.probeLost()
 		}
 	}()
+	go func() {
+		for pause.For(ctx, planInterval) {
+			m.updateTargets()
+		}
+	}()
 	return m
 }
 
-// Contact starts sending to the VM at addr, unless this is already done.
+// Contact makes this VM send to the VM at addr in a small fleet, and while it seeks
+// relays.
 func (m *Mesh) Contact(addr string) {
-	if addr == "" || addr == m.self.Address {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.senders[addr] != nil {
+	if !slices.Contains(m.seeds, addr) {
+		m.seeds = append(m.seeds, addr)
+	}
+	m.learn(addr, m.clock.Now())
+}
+
+// learn adds an address to the contacts. The lock is held.
+func (m *Mesh) learn(addr string, now time.Time) {
+	if addr == "" || addr == m.self.Address {
 		return
 	}
-	wake := make(chan struct{}, 1)
-	m.senders[addr] = wake
-	go func() {
-		m.sendTo(addr, wake)
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.senders, addr)
-	}()
+	m.contacts[addr] = true
+	if !m.large() {
+		m.target(addr, now)
+	}
 }
 
+// large reports whether the fleet uses relays. The lock is held.
+func (m *Mesh) large() bool { return m.size()+1 >= relayFleet }
+
 // Wake makes the send loops send changes without waiting for the next heartbeat.
 func (m *Mesh) Wake() {
 	m.mu.Lock()
@@ -207,9 +247,10 @@
 }
 
 // Serve receives the messages of one stream until it fails or stays silent.
-func (m *Mesh) Serve(first *wire.Gossip, s *peer.Stream) {
+func (m *Mesh) Serve(first *wire.Gossip, s Stream) {
+	table := make(recordTable)
 	for g := first; ; {
-		m.merge(g)
+		m.merge(g, table)
 		g = new(wire.Gossip)
 		if s.SetDeadline(time.Now().Add(2*AliveTimeout)) != nil || s.Receive(g) != nil {
 			return
@@ -218,26 +259,41 @@
 	}
 }
 
-// merge applies one message.
-func (m *Mesh) merge(g *wire.Gossip) {
+// merge applies one message of a stream whose records have named the VMs of table.
+func (m *Mesh) merge(g *wire.Gossip, table recordTable) {
 	vm := plank.VMID(g.Vm)
 	if vm == "" || vm == m.self.VM {
 		return
 	}
+	m.mergeMu.Lock()
+	defer m.mergeMu.Unlock()
+	for _, part := range m.mergePeers(vm, g, table) {
+		m.local.Merge(part.vm, part.boot, part.state, part.age)
+	}
+}
+
+// mergePeers applies what a message says of VMs and returns what the local state is to
+// merge. mergeMu is held.
+func (m *Mesh) mergePeers(vm plank.VMID, g *wire.Gossip, table recordTable) []merged {
 	now := m.clock.Now()
 	m.mu.Lock()
-	p := m.peers[vm]
-	if p == nil {
-		p = &Peer{VM: vm}
-		m.peers[vm] = p
-	}
-	if !p.IsAlive(now) {
-		m.log.WithFields(logrus.Fields{"vm": vm, "addr": g.Address}).Info("mesh: peer reachable")
+	defer m.mu.Unlock()
+	p := m.peer(vm, now)
+	p.identify(plank.BootID(g.Boot), plank.DomainID(g.Domain), g.Address, g.Capacity)
+	p.direct, p.lastDirect, p.readsRecords, p.seeking, p.usesAsRelay = true, now, g.ReadsRecords, g.Seeking, g.ToRelay
+	p.sendInterval = m.sendInterval(p.Domain == m.self.Domain)
+	m.markReceived(p, now, now)
+	p.LastStoreResponse = time.Time{}
+	if g.NewsMicros >= 0 {
+		p.LastStoreResponse = now.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
 	}
-	p.merge(g, now)
-	p.sendInterval = m.sendIntervalLocked(p.Domain == m.self.Domain)
-	if !slices.Contains(m.addresses, g.Address) {
-		m.addresses = append(m.addresses, g.Address)
+	if g.Sequence == 0 || g.Sequence > p.sequence {
+		p.sequence = g.Sequence
+		m.changes++
+		p.merge(g, m.changes)
+	} else {
+		// A relay was faster: what this message says of usages is outdated.
+		g.Usages = nil
 	}
 	if g.EnginesWithheld {
 		m.dropEngines(vm)
@@ -245,11 +301,39 @@
 	for _, e := range g.Engines {
 		m.mergeEngine(p, e, now)
 	}
-	m.mu.Unlock()
+	out := []merged{{vm: vm, boot: p.Boot, state: g}}
+	for _, r := range g.Records {
+		out = append(out, m.mergeRecord(table, r, now)...)
+	}
+	if !slices.Contains(m.addresses, g.Address) {
+		m.addresses = append(m.addresses, g.Address)
+	}
 	for _, addr := range append(g.Addresses, g.Address) {
-		m.Contact(addr)
+		m.learn(addr, now)
+	}
+	return out
+}
+
+// peer returns the state of a VM, which is new if the VM was not known. The lock is held.
+func (m *Mesh) peer(vm plank.VMID, now time.Time) *Peer {
+	p := m.peers[vm]
+	if p == nil {
+		p = &Peer{VM: vm, firstKnown: now}
+		m.peers[vm] = p
+	}
+	return p
+}
+
+// markReceived records when a VM's last message arrived, here or at a relay. The lock is
+// held.
+func (m *Mesh) markReceived(p *Peer, received, now time.Time) {
+	wasAlive := p.IsAlive(now)
+	if received.After(p.LastReceived) {
+		p.LastReceived = received
+	}
+	if !wasAlive && p.IsAlive(now) {
+		m.log.WithFields(logrus.Fields{"vm": p.VM, "addr": p.Address, "direct": p.direct}).Info("mesh: peer reachable")
 	}
-	m.local.Merge(vm, plank.BootID(g.Boot), g)
 }
 
 // Each calls f for each known peer, in no particular order. The pointer is valid
@@ -263,13 +347,16 @@
 }
 
 // Size returns the number of other known VMs: those that sent a message, or those
-// that are sent to if these are more, as right after the start.
+// whose addresses are known if these are more, as right after the start.
 func (m *Mesh) Size() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(len(m.peers), len(m.senders))
+	return m.size()
 }
 
+// size implements Size. The lock is held.
+func (m *Mesh) size() int { return max(len(m.peers), len(m.contacts)) }
+
 // Reachable returns the peers whose messages are current, and the number of known
 // VMs, including this one.
 func (m *Mesh) Reachable() (reachable []plank.VMID, known int) {
@@ -288,6 +375,13 @@
 	return reachable, known
 }
 
+// IsRelay reports whether this VM forwards the states of others.
+func (m *Mesh) IsRelay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.large() && m.topology.relaying
+}
+
 // countReachable returns the reachable peers, and the number of known VMs without
 // those that never sent a message. A VM that is silent for long while others of its
 // domain are reachable has been removed: a partition would silence the whole domain.
@@ -301,7 +395,7 @@
 		}
 	}
 	for _, p := range peers {
-		gone := p.Leaving || now.Sub(p.LastReceived) > goneTimeout && reachableDomains[p.Domain]
+		gone := p.Leaving || now.Sub(p.lastNews()) > goneTimeout && reachableDomains[p.Domain]
 		if p.isCurrent(now) || !gone {
 			known++
 		}
@@ -320,12 +414,15 @@
 		}
 	}
 	for vm, p := range m.peers {
-		silent := now.Sub(p.LastReceived)
+		silent := now.Sub(p.lastNews())
 		if limit := p.aliveTimeout(); silent > limit && silent <= limit+redialDelay {
 			m.log.WithFields(logrus.Fields{"vm": vm, "silent_ms": silent.Milliseconds()}).Warn("mesh: peer silent")
 		}
 		if silent > forgetTimeout {
 			delete(m.peers, vm)
+			if m.senders[p.Address] == nil {
+				m.addLost(p.Address)
+			}
 		}
 	}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -56,7 +56,7 @@
 }
 
 // Merge implements mesh.LocalState.
-func (l *local) Merge(vm plank.VMID, _ plank.BootID, g *wire.Gossip) {
+func (l *local) Merge(vm plank.VMID, _ plank.BootID, g *wire.Gossip, _ time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.received[vm]++
@@ -95,7 +95,7 @@
 	}
 	n.transport = peer.New(nil, nil, log.WithField("n", i))
 	self := mesh.Self{VM: plank.VMID(fmt.Sprint("vm", i)), Boot: plank.BootID(fmt.Sprint("b", i)), Domain: "d", Address: n.addr}
-	n.Mesh = mesh.New(ctx, self, n.transport, n.local, plank.SystemClock{}, log.WithField("n", i))
+	n.Mesh = mesh.New(ctx, self, mesh.PeerTransport(n.transport), n.local, plank.SystemClock{}, log.WithField("n", i))
 	go n.transport.Serve(ln, n)
 	n.stop = sync.OnceFunc(func() {
 		cancel()
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -13,7 +16,7 @@
 	Boot    plank.BootID
 	Domain  plank.DomainID
 	Address string
-	// LastReceived is when the VM's last message arrived.
+	// LastReceived is when the VM's last message arrived, here or at a relay.
 	LastReceived time.Time
 	Leaving      bool
 	// Settled is set once the VM has run for some seconds.
@@ -24,14 +27,44 @@
 	// Leases holds the VM's dispatch leases by domain.
 	Leases map[plank.DomainID]Lease
 	// LastStoreResponse is when the store last answered all of the VM's own watches;
-	// zero if the VM's last message gave none.
+	// zero if the VM's last message to this VM gave none.
 	LastStoreResponse time.Time
 	// Capacity has no unit and compares VMs.
 	Capacity float64
-	// sendInterval is the minimum interval of the VM's messages.
-	sendInterval time.Duration
 	// ColdLoads is the number of loads from the weight store that the VM has ordered.
 	ColdLoads int
+	// Relaying is set if the VM forwards the states of others.
+	Relaying bool
+
+	// sendInterval is the minimum interval of the VM's messages.
+	sendInterval time.Duration
+	// direct is set if the last message arrived here, not at a relay.
+	direct bool
+	// lastDirect is when the VM's last message to this VM arrived, and firstKnown when
+	// this VM learned of it.
+	lastDirect, firstKnown time.Time
+	// sequence is the number of the VM's last message; 0 if it does not number them.
+	sequence uint64
+	// readsRecords, seeking and usesAsRelay are as in its last message to this VM.
+	readsRecords, seeking, usesAsRelay bool
+	// targetSince is when this VM began to send to it; zero if it does not.
+	targetSince time.Time
+	// shunnedUntil is the time until which it is not taken for a relay, since it was
+	// silent as one.
+	shunnedUntil time.Time
+
+	// status and flights are what records carry of the VM's last message beside its
+	// usages. statusChange is the number of their last change here.
+	status       *wire.Gossip
+	flights      []*wire.Flight
+	statusChange uint64
+	usages       map[string]usageChange
+}
+
+// A usageChange is a usage with the number of its last change.
+type usageChange struct {
+	usage  *wire.Usage
+	change uint64
 }
 
 // InFlightCalls are a VM's calls in flight at one endpoint.
@@ -50,6 +83,15 @@
 // IsAlive reports whether a message from the VM arrived within its alive timeout.
 func (p *Peer) IsAlive(now time.Time) bool { return now.Sub(p.LastReceived) < p.aliveTimeout() }
 
+// lastNews returns when the VM's last message arrived, or when this VM learned of it if
+// none did.
+func (p *Peer) lastNews() time.Time {
+	if p.LastReceived.IsZero() {
+		return p.firstKnown
+	}
+	return p.LastReceived
+}
+
 // isCurrent reports whether the VM's counts are current.
 func (p *Peer) isCurrent(now time.Time) bool {
 	return now.Sub(p.LastReceived) < currentTimeout+2*p.sendInterval
@@ -58,24 +100,46 @@
 // aliveTimeout returns how long the VM counts as alive after a message.
 func (p *Peer) aliveTimeout() time.Duration { return AliveTimeout + 2*p.sendInterval }
 
-// merge applies a message that arrived at now.
-func (p *Peer) merge(g *wire.Gossip, now time.Time) {
-	if p.Boot != plank.BootID(g.Boot) {
-		p.Boot = plank.BootID(g.Boot)
-	}
-	p.Domain, p.Address, p.Leaving = plank.DomainID(g.Domain), g.Address, g.Leaving
-	p.Settled = g.Settled
-	p.LastReceived, p.Manifest, p.ColdLoads = now, plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
-	p.Capacity, p.LastStoreResponse = g.Capacity, time.Time{}
-	if g.NewsMicros >= 0 {
-		p.LastStoreResponse = now.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
+// isDirectlyAlive reports whether the VM sends to this VM.
+func (p *Peer) isDirectlyAlive(now time.Time) bool { return now.Sub(p.lastDirect) < AliveTimeout }
+
+// identify sets what the first message of a stream says of the VM. A VM that started
+// anew has sent nothing yet.
+func (p *Peer) identify(boot plank.BootID, domain plank.DomainID, addr string, capacity float64) {
+	if p.Boot != boot {
+		p.Boot, p.sequence, p.status, p.usages = boot, 0, nil, nil
 	}
-	p.InFlight = make(map[plank.EndpointID]InFlightCalls, len(g.Flights))
+	p.Domain, p.Address, p.Capacity = domain, addr, capacity
+}
+
+// merge applies the state in a message. change is the number of this change.
+func (p *Peer) merge(g *wire.Gossip, change uint64) {
+	p.Leaving, p.Settled, p.Relaying = g.Leaving, g.Settled, g.Relaying
+	p.Manifest, p.ColdLoads = plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
+	inFlight := make(map[plank.EndpointID]InFlightCalls, len(g.Flights))
 	for _, f := range g.Flights {
-		p.InFlight[plank.EndpointID(f.Endpoint)] = InFlightCalls{Calls: int(f.Calls), Adapters: f.Adapters}
+		slices.Sort(f.Adapters)
+		inFlight[plank.EndpointID(f.Endpoint)] = InFlightCalls{Calls: int(f.Calls), Adapters: f.Adapters}
 	}
+	sameCalls := maps.EqualFunc(p.InFlight, inFlight, func(a, b InFlightCalls) bool {
+		return a.Calls == b.Calls && slices.Equal(a.Adapters, b.Adapters)
+	})
+	p.InFlight = inFlight
 	p.Leases = make(map[plank.DomainID]Lease, len(g.Duties))
 	for _, d := range g.Duties {
 		p.Leases[plank.DomainID(d.Domain)] = Lease{Term: plank.Term(d.Term), Version: plank.ObjectVersion(d.Version)}
 	}
+	status := &wire.Gossip{
+		Leaving: g.Leaving, Settled: g.Settled, Relaying: g.Relaying, Manifest: g.Manifest, ColdLoads: g.ColdLoads, Duties: g.Duties, NewsMicros: -1,
+	}
+	if p.status == nil || !sameCalls || !proto.Equal(p.status, status) {
+		p.statusChange = change
+	}
+	p.status, p.flights = status, g.Flights
+	if p.usages == nil {
+		p.usages = make(map[string]usageChange)
+	}
+	for _, u := range g.Usages {
+		p.usages[u.Workspace] = usageChange{usage: u, change: change}
+	}
 }
--- a/internal/mesh/probe.go
+++ b/internal/mesh/probe.go
@@ -10,10 +10,10 @@
 // This file defines how VMs reconnect after a long partition, in which both sides
 // stopped sending to each other.
 
-// addLost marks an address as one that is only probed.
+// addLost marks an address as one that is only probed. The lock is held.
 func (m *Mesh) addLost(addr string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	delete(m.contacts, addr)
+	delete(m.targetUntil, addr)
 	if _, ok := m.lost[addr]; !ok {
 		m.lost[addr] = m.clock.Now().Add(maxProbeTime)
 	}
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -7,26 +7,134 @@
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
+	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/wire"
 )
 
-// This file defines the send loop for one VM.
+// This file defines the send loop for one VM, and starts and ends the loops.
 
-// sendTo sends to one address until the VM there has been silent for giveUpTimeout.
+// updateTargets chooses anew which VMs this VM sends to.
+func (m *Mesh) updateTargets() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	var targets map[string]bool
+	if m.large() {
+		targets = m.planTargets(now)
+	} else {
+		m.topology = topology{}
+		targets = m.contacts
+	}
+	for addr := range targets {
+		m.target(addr, now)
+	}
+	for _, p := range m.peers {
+		switch {
+		case !targets[p.Address]:
+			p.targetSince = time.Time{}
+		case p.targetSince.IsZero():
+			p.targetSince = now
+		}
+	}
+}
+
+// planTargets updates the topology of a large fleet and returns the addresses to send
+// to. The lock is held.
+func (m *Mesh) planTargets(now time.Time) map[string]bool {
+	latest := make(map[plank.DomainID]time.Time) // last message of any VM of a domain
+	for _, p := range m.peers {
+		if p.LastReceived.After(latest[p.Domain]) {
+			latest[p.Domain] = p.LastReceived
+		}
+	}
+	isHolder := false
+	for _, e := range m.engines {
+		isHolder = isHolder || e.Holder == m.self.VM
+	}
+	self := neighbor{vm: m.self.VM, domain: m.self.Domain, addr: m.self.Address, capacity: m.self.Capacity, usable: true, isHolder: isHolder}
+	others := make([]neighbor, 0, len(m.peers))
+	for _, p := range m.peers {
+		if !p.targetSince.IsZero() && now.Sub(p.targetSince) > relayTimeout && now.Sub(p.LastReceived) > relayTimeout {
+			p.shunnedUntil, p.targetSince = now.Add(shunTime), time.Time{}
+		}
+		others = append(others, neighbor{
+			vm: p.VM, domain: p.Domain, addr: p.Address, capacity: p.Capacity,
+			usable:   !p.Leaving && !now.Before(p.shunnedUntil) && latest[p.Domain].Sub(p.LastReceived) < relayTimeout,
+			isHolder: len(p.Leases) > 0 && p.IsAlive(now), readsRecords: p.readsRecords || p.LastReceived.IsZero(),
+			sendsHere: p.isDirectlyAlive(now), seeking: p.seeking, usesAsRelay: p.usesAsRelay,
+		})
+	}
+	m.topology = planTopology(self, others)
+	targets := m.topology.targets
+	if m.seeking(now) {
+		for _, addr := range m.seeds {
+			if addr != m.self.Address {
+				targets[addr] = true
+			}
+		}
+	}
+	return targets
+}
+
+// seeking reports whether no relay of this VM's domain sends to it. The lock is held.
+func (m *Mesh) seeking(now time.Time) bool {
+	if !m.large() {
+		return true
+	}
+	for _, p := range m.peers {
+		if p.Domain == m.self.Domain && p.isDirectlyAlive(now) && (p.Relaying || m.topology.relaying) {
+			return false
+		}
+	}
+	return true
+}
+
+// target keeps a stream to an address open, and starts its send loop if there is none.
+// The lock is held.
+func (m *Mesh) target(addr string, now time.Time) {
+	m.targetUntil[addr] = now.Add(targetLinger)
+	if m.senders[addr] != nil {
+		return
+	}
+	wake := make(chan struct{}, 1)
+	m.senders[addr] = wake
+	go func() {
+		m.sendTo(addr, wake)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.senders, addr)
+	}()
+}
+
+// isTarget reports whether the stream to an address stays open.
+func (m *Mesh) isTarget(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.clock.Now().Before(m.targetUntil[addr]) {
+		return true
+	}
+	delete(m.targetUntil, addr)
+	return false
+}
+
+// sendTo sends to one address until it is no longer a target, or the VM there has been
+// silent for giveUpTimeout.
 func (m *Mesh) sendTo(addr string, wake <-chan struct{}) {
 	lastAnswer := m.clock.Now() // or the first attempt
-	for m.ctx.Err() == nil {
+	for m.ctx.Err() == nil && m.isTarget(addr) {
 		ctx, cancel := context.WithCancel(m.ctx)
 		m.stream(ctx, addr, wake)
 		cancel()
-		// A VM that receives messages sends its own in return.
+		// A VM that receives messages sends its own in return, to this VM or to a relay.
 		if received := m.lastReceived(addr); received.After(lastAnswer) {
 			lastAnswer = received
 		}
 		if m.clock.Now().Sub(lastAnswer) > m.giveUpTimeout {
 			m.log.WithField("addr", addr).Info("mesh: gave up an address that does not answer")
+			m.mu.Lock()
 			m.addLost(addr)
+			m.mu.Unlock()
 			return
 		}
 		pause.For(m.ctx, redialDelay)
@@ -50,7 +158,7 @@
 		}).Warn("mesh: stream ended")
 	}
 	for {
-		if !m.waitNextSend(ctx, addr, wake) {
+		if !m.waitNextSend(ctx, addr, wake) || !m.isTarget(addr) {
 			return
 		}
 		if now := m.clock.Now(); now.Sub(opened) > 2*AliveTimeout && !m.isAlive(addr, now) {
@@ -74,8 +182,9 @@
 // waitNextSend waits until the next message is due: soon after a change, or after
 // the heartbeat interval. It reports false if ctx has ended.
 func (m *Mesh) waitNextSend(ctx context.Context, addr string, wake <-chan struct{}) bool {
-	sameDomain, _, _ := m.receiver(addr)
-	interval := m.sendInterval(sameDomain)
+	m.mu.Lock()
+	interval := m.sendInterval(m.receiver(addr).domain == m.self.Domain)
+	m.mu.Unlock()
 	if !pause.For(ctx, interval) {
 		return false
 	}
@@ -90,14 +199,14 @@
 	return true
 }
 
-// sendInterval returns the minimum interval of messages to a VM.
+// sendInterval returns the minimum interval of messages to a VM. The lock is held.
 func (m *Mesh) sendInterval(sameDomain bool) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.sendIntervalLocked(sameDomain)
-}
-
-func (m *Mesh) sendIntervalLocked(sameDomain bool) time.Duration {
+	if m.large() {
+		if sameDomain {
+			return relayInterval
+		}
+		return relayCrossInterval
+	}
 	interval := max(minInterval, time.Duration(len(m.senders))*intervalPerPeer)
 	if sameDomain {
 		return interval
@@ -115,49 +224,76 @@
 	objects    uint64 // last change of the store's objects
 	engines    uint64 // last change of the engines' states
 	addresses  int    // number of addresses sent from Mesh.addresses
+	records    map[plank.VMID]*sentRecord
 }
 
 // compose returns the next message of a stream and advances its position.
 func (m *Mesh) compose(pos *position, addr string) *wire.Gossip {
-	sameDomain, omitEngines, omitCalls := m.receiver(addr)
-	if omitEngines {
+	m.composeMu.Lock()
+	defer m.composeMu.Unlock()
+	m.mu.Lock()
+	now := m.clock.Now()
+	to := m.receiver(addr)
+	relaying, seeking := m.large() && m.topology.relaying, m.seeking(now)
+	m.mu.Unlock()
+	if to.omitEngines {
 		pos.engines = 0
 	}
-	g, covered := m.local.Gossip(GossipOptions{AfterChange: pos.change, AfterObjects: pos.objects, AfterEngines: pos.engines, OmitEngines: omitEngines, SameDomain: sameDomain, OmitEngineCalls: omitCalls})
+	g, covered := m.local.Gossip(GossipOptions{
+		AfterChange: pos.change, AfterObjects: pos.objects, AfterEngines: pos.engines,
+		OmitEngines: to.omitEngines, SameDomain: to.domain == m.self.Domain, OmitEngineCalls: to.omitCalls, Relaying: relaying,
+	})
+	m.sequence++
+	g.Sequence, g.ReadsRecords, g.Relaying, g.Seeking = m.sequence, true, relaying, seeking
 	if !pos.identified {
 		g.Vm, g.Boot, g.Domain, g.Address = string(m.self.VM), string(m.self.Boot), string(m.self.Domain), m.self.Address
 		g.Capacity = m.self.Capacity
 		pos.identified = true
 	}
-	g.EnginesWithheld = omitEngines
+	g.EnginesWithheld, g.ToRelay = to.omitEngines, to.isRelay
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	g.Addresses = slices.Clone(m.addresses[pos.addresses:])
-	pos.change, pos.objects, pos.addresses = covered.Change, covered.Objects, len(m.addresses)
-	if !omitEngines {
+	g.Records = m.composeRecords(pos, &to, now)
+	if !m.large() || !to.readsRecords {
+		g.Addresses = slices.Clone(m.addresses[pos.addresses:])
+		pos.addresses = len(m.addresses)
+	}
+	pos.change, pos.objects = covered.Change, covered.Objects
+	if !to.omitEngines {
 		pos.engines = covered.Change
 	}
 	return g
 }
 
-// receiver reports whether the VM at addr is in this VM's domain, and whether
-// engine states and counts of calls on engines are omitted for it: in a large fleet
-// only lease holders receive them, and the other VMs send their requests to a holder.
-func (m *Mesh) receiver(addr string) (sameDomain, omitEngines, omitCalls bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// A receiver is what a message depends on beside its stream's position.
+type receiver struct {
+	addr   string
+	domain plank.DomainID // empty if not known
+	// omitEngines and omitCalls are set if engine states and counts of calls on
+	// engines are omitted: in a large fleet only lease holders and relays receive
+	// them, and the other VMs send their requests to a holder.
+	omitEngines, omitCalls bool
+	// isRelay is set if this VM takes the receiver for a relay of its domain.
+	isRelay               bool
+	readsRecords, seeking bool
+}
+
+// receiver returns what messages to an address depend on. The lock is held.
+func (m *Mesh) receiver(addr string) receiver {
 	ownEngines := 0
 	for _, e := range m.engines {
 		if e.Holder == m.self.VM {
 			ownEngines++
 		}
 	}
-	omitEngines, omitCalls = ownEngines*len(m.senders) > maxEngineStates, len(m.senders)+1 >= largeFleet
+	to := receiver{addr: addr, omitEngines: ownEngines*m.size() > maxEngineStates, omitCalls: m.size()+1 >= largeFleet}
 	for _, p := range m.peers {
 		if p.Address == addr {
-			sameDomain = p.Domain == m.self.Domain
-			omitEngines, omitCalls = omitEngines && len(p.Leases) == 0, omitCalls && len(p.Leases) == 0
+			isHolder := len(p.Leases) > 0
+			to.domain, to.readsRecords, to.seeking = p.Domain, p.readsRecords, p.seeking
+			to.isRelay = m.large() && slices.Contains(m.topology.relays, p.VM)
+			to.omitEngines, to.omitCalls = to.omitEngines && !isHolder, to.omitCalls && !isHolder && !to.isRelay && !(m.large() && p.Relaying)
 		}
 	}
-	return sameDomain, omitEngines, omitCalls
+	return to
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,7 +146,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.watchPolicy = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view}
+	n.watchPolicy = &watchPolicy{self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
@@ -182,7 +182,7 @@
 	s := n.settings
 	n.transport = peer.New(net.ParseIP(s.IP), nil, n.log)
 	self := mesh.Self{VM: s.VM, Boot: n.boot, Domain: s.Domain, Address: addr, Capacity: capacity(s)}
-	n.mesh = mesh.New(ctx, self, n.transport, n.state, n.clock, n.log)
+	n.mesh = mesh.New(ctx, self, mesh.PeerTransport(n.transport), n.state, n.clock, n.log)
 	n.watchPolicy.mesh = n.mesh
 	n.state.fleetSize = n.mesh.Size
 	n.objectSender = &objectSender{table: n.table}
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -22,6 +22,11 @@
 	// smallFleet is the number of VMs below which updates are sent to all failure
 	// domains instead of to the VM's own.
 	smallFleet = 16
+	// startSilence is how long a VM that starts with its whole fleet leaves the store
+	// to others, and startPatience how long it waits for their updates, once it knows
+	// that there are others.
+	startSilence  = 500 * time.Millisecond
+	startPatience = time.Second
 )
 
 // A watchPolicy decides whether this VM calls the store or relies on the updates
@@ -36,6 +41,9 @@
 	// bandwidth of this VM's link in Mbit/s.
 	bound    time.Duration
 	linkMbps float64
+	// bootstrap is set if the VM was started, at startedAt, with its whole fleet.
+	bootstrap bool
+	startedAt time.Time
 
 	mu       sync.Mutex
 	watchers []*watch.Watcher
@@ -44,6 +52,9 @@
 	watching    bool
 	rank, alive int
 	decideAt    time.Time
+	// peerUpdate is the time of the last update that a live peer received from the store
+	// and sends to this VM; zero for none.
+	peerUpdate time.Time
 }
 
 // timing returns the times of following the store, for the size of the
@@ -78,17 +89,27 @@
 }
 
 // lastUpdate returns the time of the last update from the store, received by this
-// VM or by a peer.
+// VM or by a peer that sends its updates to this VM.
 func (wp *watchPolicy) lastUpdate() time.Time {
 	newest := wp.lastResponse()
+	small := wp.mesh.Size() < smallFleet
 	wp.mesh.Each(func(p *mesh.Peer) {
-		if p.LastStoreResponse.After(newest) {
+		if (small || p.Domain == wp.domain) && p.LastStoreResponse.After(newest) {
 			newest = p.LastStoreResponse
 		}
 	})
 	return newest
 }
 
+// sendsObjects reports whether this VM sends objects of the store to others. All VMs
+// watch while nobody sends them updates, as after the start of a fleet; once one of the
+// VMs that are to watch sends them, the others need not.
+func (wp *watchPolicy) sendsObjects() bool {
+	wp.mu.Lock()
+	defer wp.mu.Unlock()
+	return wp.rank < 2*watchers(wp.alive) || wp.peerUpdate.IsZero() || wp.clock.Now().Sub(wp.peerUpdate) > wp.timing().successorAge
+}
+
 // mustWatch reports whether this VM has to call the store itself.
 func (wp *watchPolicy) mustWatch() bool {
 	wp.mu.Lock()
@@ -102,7 +123,7 @@
 
 // decide applies the rules to the state of the peers. The lock is held.
 func (wp *watchPolicy) decide(now time.Time) bool {
-	ownRank := watchRank(wp.self)
+	ownRank, relaying := watchRank(wp.self), wp.mesh.IsRelay()
 	rank, alive := 0, 1
 	newest := time.Time{}
 	small := wp.mesh.Size() < smallFleet
@@ -113,7 +134,8 @@
 		sameDomain := p.Domain == wp.domain
 		if sameDomain && !p.Leaving {
 			alive++
-			if watchRank(p.VM) < ownRank {
+			// Relays come first, since they send to all VMs of the domain.
+			if p.Relaying && !relaying || p.Relaying == relaying && watchRank(p.VM) < ownRank {
 				rank++
 			}
 		}
@@ -121,8 +143,15 @@
 			newest = p.LastStoreResponse
 		}
 	})
-	wp.rank, wp.alive = rank, alive
-	return wp.timing().mustWatch(rank, alive, now.Sub(newest))
+	wp.rank, wp.alive, wp.peerUpdate = rank, alive, newest
+	if wp.bootstrap && now.Sub(wp.startedAt) < startSilence {
+		return false
+	}
+	timing := wp.timing()
+	if alive > 1 && now.Sub(wp.startedAt) < startPatience && newest.IsZero() {
+		return rank < watchers(alive)
+	}
+	return timing.mustWatch(rank, alive, now.Sub(newest))
 }
 
 // retry returns the pause after a number of consecutive failed calls to the store.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/front"
@@ -89,8 +90,8 @@
 	for _, u := range s.limiter.ChangedSince(opts.AfterChange) {
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: int64(math.Round(float64(u.Total))), Level: int64(u.Level)})
 	}
-	if lastResponse := s.watchPolicy.lastResponse(); !lastResponse.IsZero() && (opts.SameDomain || s.fleetSize() < smallFleet) {
-		if age := s.clock.Now().Sub(lastResponse); age < s.watchPolicy.timing().maxAge {
+	if opts.SameDomain || s.fleetSize() < smallFleet {
+		if age, ok := s.updateAge(opts.Relaying); ok {
 			g.Objects, covered.Objects = s.changedObjects(opts.AfterObjects, covered.Change)
 			if covered.Objects == covered.Change {
 				g.NewsMicros = age.Microseconds()
@@ -113,6 +114,18 @@
 	return g, covered
 }
 
+// updateAge returns how old this VM's view of the store is, and whether it is recent
+// enough to be sent to others. The view of a relay is as recent as that of the VMs that
+// send theirs to it, unless it is still fetching an object that they announced.
+func (s *state) updateAge(relaying bool) (time.Duration, bool) {
+	updated := s.watchPolicy.lastResponse()
+	if relaying && !s.fetcher.IsFetching() {
+		updated = s.watchPolicy.lastUpdate()
+	}
+	age := s.clock.Now().Sub(updated)
+	return age, !updated.IsZero() && age < s.watchPolicy.timing().maxAge && s.watchPolicy.sendsObjects()
+}
+
 // changedEngines returns the engine states that changed after a change. The
 // lock is held.
 func (s *state) changedEngines(after uint64) []*wire.EngineState {
@@ -180,14 +193,14 @@
 }
 
 // Merge implements mesh.LocalState.
-func (s *state) Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip) {
+func (s *state) Merge(vm plank.VMID, boot plank.BootID, g *wire.Gossip, age time.Duration) {
 	usages := make([]limit.Usage, 0, len(g.Usages))
 	for _, u := range g.Usages {
 		usages = append(usages, limit.Usage{
 			Workspace: plank.WorkspaceID(u.Workspace), Total: plank.Tokens(u.Tokens), Level: plank.Tokens(u.Level),
 		})
 	}
-	s.limiter.MergeUsages(vm, boot, g.Settled, usages)
+	s.limiter.MergeUsages(vm, boot, g.Settled, usages, age)
 	for _, o := range g.Objects {
 		if o.Size > 0 {
 			s.fetcher.HandleAnnouncement(vm, o.Key, plank.Revision(o.Revision))
@@ -199,7 +212,9 @@
 		})
 	}
 	for _, x := range g.Suspects {
-		s.poison.Merge(decodeSuspect(x))
+		if e, changed := s.poison.Merge(decodeSuspect(x)); changed {
+			s.setSuspect(e) // VMs that the sender does not send to learn of it here
+		}
 	}
 }
 
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -65,14 +65,15 @@
 }
 
 // Merge merges an entry of another VM. The crash count, Quarantined and Until are
-// never lowered.
-func (t *Table) Merge(other Entry) {
+// never lowered. It returns the merged entry and reports whether it has changed.
+func (t *Table) Merge(other Entry) (Entry, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e := t.entries[other.Print]
 	if !other.Until.After(t.clock.Now()) {
-		return
+		return e, false
 	}
-	e := t.entries[other.Print]
+	before := e
 	e.Print = other.Print
 	e.Crashes = max(e.Crashes, other.Crashes)
 	e.Quarantined = e.Quarantined || other.Quarantined
@@ -80,6 +81,7 @@
 		e.Until = other.Until
 	}
 	t.put(e)
+	return e, e != before
 }
 
 // put stores an entry, evicting another if the table is full. The lock is held.
--- a/internal/watch/fetch.go
+++ b/internal/watch/fetch.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// IsFetching reports whether an announced object is still missing here.
+func (f *Fetcher) IsFetching() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.pending) > 0
+}
+
 // fetch gets an object, with retries, until the table holds its newest announced revision.
 func (f *Fetcher) fetch(key string) {
 	if f.opts.IsWatching() {
