grant: the limit of loads from the weight store is learned

Change: holders compare how long loads take with the usual time and raise or lower the limit, which is divided among them as before. A cut that does not make loads faster is taken back: they are slow for another reason. A VM without engines steps its scheduler once a second.

TestColdLimiterLearnsTheStoresBound simulates stores with bounds from 2 to 200; nine tenths of the best throughput within 2 s (without the limiter: 24 of 80 loads).

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -35,6 +35,8 @@
 	// maxColdLoadTime is how long a load counts against the limit of cold loads; one
 	// that takes four times the usual 250 ms is considered lost.
 	maxColdLoadTime = time.Second
+	// maxCheckDelay is how late the check of a load may be to tell how long it took.
+	maxCheckDelay = 30 * time.Millisecond
 	// pollInterval is the time between further checks.
 	pollInterval = 20 * time.Millisecond
 	// conflictPause is how long no load or unload is ordered after the engine refused
@@ -185,7 +187,10 @@
 	adoptedAt       time.Time // when this VM became the holder
 	busy            bool      // an action is in progress
 	coldOrder       bool      // the action is a cold load
-	baseLoading     bool      // a base model is being loaded
+	// coldLoadTook is how long the cold load took whose end the last order's response
+	// reported; 0 if it reported none.
+	coldLoadTook time.Duration
+	baseLoading  bool // a base model is being loaded
 
 	queue   []*reservation
 	running map[*reservation]bool
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -66,5 +66,32 @@
 // ColdLoads counts the cold loads in progress.
 func (e *Engine) ColdLoads(now time.Time) int { return e.coldLoads(now) }
 
-// MayStartColdLoad is mayStartColdLoad, for tests.
-var MayStartColdLoad = mayStartColdLoad
+// MayStartColdLoad is mayStartColdLoad with the limit that a fleet begins with.
+func MayStartColdLoad(held, engines, here, elsewhere int) bool {
+	return mayStartColdLoad(coldLoadLimit(engines), held, engines, here, elsewhere)
+}
+
+// A ColdLimiter is a coldLimiter, for tests.
+type ColdLimiter = coldLimiter
+
+// NewColdLimiter returns the limiter of a fleet of that many engines.
+func NewColdLimiter(engines int) *ColdLimiter {
+	c := new(coldLimiter)
+	c.setEngines(engines)
+	return c
+}
+
+// MayStart reports whether a holder of held engines may start a load.
+func (c *ColdLimiter) MayStart(held, here, elsewhere int) bool {
+	if mayStartColdLoad(c.current(), held, c.engines, here, elsewhere) {
+		return true
+	}
+	c.refused = true
+	return false
+}
+
+// RecordLoad records the end of a load.
+func (c *ColdLimiter) RecordLoad(took time.Duration, now time.Time) { c.recordLoad(took, now) }
+
+// Adjust changes the limit if it is time.
+func (c *ColdLimiter) Adjust(inProgress int, now time.Time) { c.adjust(inProgress, now) }
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -181,7 +181,7 @@
 // handleOrderResult processes the result of an order. It reports whether the engine
 // refused the order because it has seen a higher term.
 func (e *Engine) handleOrderResult(o plank.Order, result plank.OrderResult, err error, now time.Time) (fenced bool) {
-	e.busy, e.coldOrder = false, false
+	e.busy, e.coldOrder, e.coldLoadTook = false, false, 0
 	e.unanswered = nil
 	if err != nil {
 		e.handleUnanswered(o, now)
@@ -245,6 +245,9 @@
 	switch {
 	case result == plank.OrderDone:
 		slot.state = resident
+		if !slot.coldUntil.IsZero() && now.Sub(slot.pollAt) < maxCheckDelay {
+			e.coldLoadTook = now.Sub(slot.loadedAt)
+		}
 		slot.loadedAt, slot.coldUntil = now, time.Time{}
 		e.recent.Add(slot.ref)
 	case isPoll:
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -20,6 +20,8 @@
 	statusTimeout = 600 * time.Millisecond
 	// maxSleep is the maximum time between two steps.
 	maxSleep = 250 * time.Millisecond
+	// idleSleep is the same for a VM that holds no lease.
+	idleSleep = time.Second
 	// waitLogInterval is the time between log lines on what calls wait for.
 	waitLogInterval = time.Second
 )
@@ -69,6 +71,7 @@
 	sorted        []*Engine // engines, sorted by ID
 	fleetSize     int       // number of engines in the fleet
 	publishedCold int       // cold loads, as last published
+	cold          coldLimiter
 	nextLogAt     time.Time // of the next log line on waiting calls
 	changed       map[plank.EndpointID]bool
 }
@@ -116,10 +119,20 @@
 
 // step processes all engines and returns the time until the next step is due.
 func (s *Scheduler) step() time.Duration {
+	if len(s.engines) == 0 && len(s.changed) == 0 && s.publishedCold == 0 {
+		return idleSleep
+	}
 	now := s.deps.Clock.Now()
 	wait := maxSleep
 	here, elsewhere := s.coldLoads(), s.deps.RemoteColdLoads()
-	mayLoadCold := func() bool { return mayStartColdLoad(len(s.sorted), s.fleetSize, here, elsewhere) }
+	s.cold.adjust(here+elsewhere, now)
+	mayLoadCold := func() bool {
+		if mayStartColdLoad(s.cold.current(), len(s.sorted), s.fleetSize, here, elsewhere) {
+			return true
+		}
+		s.cold.refused = true
+		return false
+	}
 	s.moveWaiting(now, mayLoadCold())
 	if !now.Before(s.nextLogAt) {
 		s.nextLogAt = now.Add(waitLogInterval)
@@ -266,7 +279,11 @@
 }
 
 func (s *Scheduler) handleOrderResult(e *Engine, o plank.Order, result plank.OrderResult, err error) {
-	fenced := e.handleOrderResult(o, result, err, s.deps.Clock.Now())
+	now := s.deps.Clock.Now()
+	fenced := e.handleOrderResult(o, result, err, now)
+	if e.coldLoadTook > 0 {
+		s.cold.recordLoad(e.coldLoadTook, now)
+	}
 	s.changed[e.inst.ID] = true
 	log := s.deps.Log.WithFields(logrus.Fields{
 		"endpoint": e.inst.ID, "adapter": o.Target.Adapter.String(), "version": o.Target.Version, "unload": o.Unload,
@@ -303,7 +320,10 @@
 // engines in the fleet.
 func (s *Scheduler) Sync(held []HeldEngine, total int) {
 	s.post(func() {
-		s.fleetSize = total
+		if s.fleetSize != total {
+			s.fleetSize = total
+			s.cold.setEngines(total)
+		}
 		keep := make(map[plank.EndpointID]bool, len(held))
 		for _, h := range held {
 			keep[h.Instance.ID] = true
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -78,7 +78,7 @@
 	}
 	fields := logrus.Fields{
 		"waiting": waiting, "engines": len(s.sorted), "places": slots, "idle": idle, "running": running,
-		"cold_here": s.coldLoads(), "cold_elsewhere": s.deps.RemoteColdLoads(), "cold_limit": coldLoadLimit(s.fleetSize),
+		"cold_here": s.coldLoads(), "cold_elsewhere": s.deps.RemoteColdLoads(), "cold_limit": s.cold.current(),
 	}
 	for c, n := range counts {
 		fields["for "+string(c)] = n
