mesh: a large fleet starts without a storm on its seeds

Cause: all 195 VMs sent to the same three seeds, VMs of a fifth of a core, which sent the state of the whole fleet to each in return, and to the first 31 VMs that they learned of. 135 of 195 then read the records of all members from the store (four calls each), and streams were closed for silence until 5 s before traffic.

Change: a VM sends to one seed at a time, which differs by VM; a seed tells it the VMs of its own domain; VMs that start together send to few others for a second; a VM takes the size of the fleet from those that know it, and reads the members only if two seeds in turn do not answer.

--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -277,6 +277,9 @@
 		},
 		state: &counter{counts: make(map[plank.VMID]int64), boots: make(map[plank.VMID]plank.BootID)},
 	}
+	if boot == 1 {
+		v.self.Quiet = time.Second
+	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.Mesh = mesh.New(v.ctx, v.self, link{network: f.network, from: addr, ctx: v.ctx}, v.state, plank.SystemClock{}, log.WithField("vm", i))
 	f.network.mu.Lock()
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -18,8 +18,8 @@
 const registerRetryDelay = 500 * time.Millisecond
 
 // seekTimeout is how long a VM waits for messages of the VMs that it was told of before it
-// reads the records of all from the store.
-const seekTimeout = 400 * time.Millisecond
+// reads the records of all from the store: it tries two of them.
+const seekTimeout = 2 * seedInterval
 
 // A Member is a VM's record in the store.
 type Member struct {
@@ -60,8 +60,10 @@
 		return err
 	}
 	m.log.WithField("addr", m.self.Address).Info("mesh: registered")
-	if !pause.For(ctx, seekTimeout) || m.hears() {
-		return nil
+	for until := m.clock.Now().Add(seekTimeout); m.clock.Now().Before(until); {
+		if !pause.For(ctx, seekTimeout/10) || m.hears() {
+			return nil
+		}
 	}
 	return m.contactMembers(ctx, store)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -40,6 +40,8 @@
 	// target.
 	planInterval = 250 * time.Millisecond
 	targetLinger = 2 * time.Second
+	// seedInterval is how long a VM that seeks relays sends to a seed before the next.
+	seedInterval = 700 * time.Millisecond
 	// relayTimeout is how much longer than other VMs of its domain a VM may be silent to
 	// be taken for a relay, and shunTime how long a relay that was silent is not.
 	relayTimeout = 1500 * time.Millisecond
@@ -117,6 +119,9 @@
 	Address string
 	// Capacity has no unit and compares VMs: those with more should hold the leases.
 	Capacity float64
+	// Quiet is how long after its start this VM sends only to a seed, and to VMs that send
+	// to it. In a fleet that starts as a whole, VMs learn meanwhile how large it is.
+	Quiet time.Duration
 }
 
 // A Mesh exchanges state with the other VMs. It is safe for concurrent use.
@@ -146,6 +151,11 @@
 	// those that it was given.
 	contacts map[string]bool
 	seeds    []string
+	// startedAt is when this VM started.
+	startedAt time.Time
+	// largeUntil is the time until which the fleet counts as large because another VM
+	// said so.
+	largeUntil time.Time
 	// topology is used in a large fleet. targetUntil maps the addresses to send to to the
 	// time until which streams to them stay open.
 	topology    topology
@@ -162,7 +172,8 @@
 // New returns a mesh whose loops end with ctx.
 func New(ctx context.Context, self Self, transport Transport, local LocalState, clock plank.Clock, log *logrus.Entry) *Mesh {
 	m := &Mesh{
-		self: self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout,
+		startedAt: clock.Now(),
+		self:      self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout,
 		peers: make(map[plank.VMID]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
 		engines: make(map[plank.EndpointID]Engine), recent: make(map[plank.EndpointID]*recentAdapters),
 	}
@@ -185,10 +196,14 @@
 func (m *Mesh) Contact(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !slices.Contains(m.seeds, addr) {
+	if addr != m.self.Address && !slices.Contains(m.seeds, addr) {
 		m.seeds = append(m.seeds, addr)
 	}
-	m.learn(addr, m.clock.Now())
+	now := m.clock.Now()
+	m.learn(addr, now)
+	if seed := m.seed(now); seed != "" {
+		m.target(seed, now)
+	}
 }
 
 // learn adds an address to the contacts. The lock is held.
@@ -197,13 +212,20 @@
 		return
 	}
 	m.contacts[addr] = true
-	if !m.large() {
+	if !m.large() && now.Sub(m.startedAt) >= m.self.Quiet {
 		m.target(addr, now)
 	}
 }
 
-// large reports whether the fleet uses relays. The lock is held.
-func (m *Mesh) large() bool { return m.size()+1 >= relayFleet }
+// large reports whether the fleet uses relays: this VM knows so many VMs, or one that sends
+// to it does. The lock is held.
+func (m *Mesh) large() bool {
+	return m.knowsLarge() || m.clock.Now().Before(m.largeUntil)
+}
+
+// knowsLarge reports whether this VM knows so many VMs that the fleet uses relays. The
+// lock is held.
+func (m *Mesh) knowsLarge() bool { return m.size()+1 >= relayFleet }
 
 // Wake makes the send loops send changes without waiting for the next heartbeat.
 func (m *Mesh) Wake() {
@@ -279,6 +301,9 @@
 	p.identify(plank.BootID(g.Boot), plank.DomainID(g.Domain), g.Address, g.Capacity)
 	p.direct, p.lastDirect, p.readsRecords, p.seeking, p.usesAsRelay = true, now, g.ReadsRecords, g.Seeking, g.ToRelay
 	p.sendInterval = m.sendInterval(p.Domain == m.self.Domain)
+	if g.Large {
+		m.largeUntil = now.Add(goneTimeout)
+	}
 	m.markReceived(p, now, now)
 	p.LastStoreResponse = time.Time{}
 	if g.NewsMicros >= 0 {
@@ -308,6 +333,9 @@
 	for _, addr := range append(g.Addresses, g.Address) {
 		m.learn(addr, now)
 	}
+	if !m.large() {
+		m.target(g.Address, now)
+	}
 	return out
 }
 
--- a/internal/mesh/record.go
+++ b/internal/mesh/record.go
@@ -70,14 +70,14 @@
 	switch {
 	case now.Sub(p.LastReceived) > goneTimeout:
 		return false
-	case to.seeking:
+	case to.seeking && p.Domain == to.domain:
 		return true
 	case m.topology.relaying:
 		return to.domain == m.self.Domain || p.Domain == m.self.Domain
 	}
 	// Other VMs forward only what the relays of their domain cannot have received: VMs
 	// that send to them as they seek relays, or after a long partition.
-	return to.domain == m.self.Domain && p.isDirectlyAlive(now) && !(p.Domain == m.self.Domain && p.Relaying)
+	return to.domain == m.self.Domain && p.direct && p.isDirectlyAlive(now) && !(p.Domain == m.self.Domain && p.Relaying)
 }
 
 // stateSince returns what a stream has not yet carried of the VM's state; nil if there
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -24,7 +24,11 @@
 		targets = m.planTargets(now)
 	} else {
 		m.topology = topology{}
-		targets = m.contacts
+		if now.Sub(m.startedAt) >= m.self.Quiet {
+			targets = m.contacts
+		} else if seed := m.seed(now); seed != "" {
+			targets = map[string]bool{seed: true}
+		}
 	}
 	for addr := range targets {
 		m.target(addr, now)
@@ -67,16 +71,23 @@
 	}
 	m.topology = planTopology(self, others)
 	targets := m.topology.targets
-	if m.seeking(now) {
-		for _, addr := range m.seeds {
-			if addr != m.self.Address {
-				targets[addr] = true
-			}
-		}
+	if seed := m.seed(now); seed != "" && m.seeking(now) {
+		targets[seed] = true
 	}
 	return targets
 }
 
+// seed returns the seed that this VM sends to while it seeks relays; "" if it has none.
+// Different VMs begin with different seeds, which would be overloaded otherwise when a large
+// fleet starts. The lock is held.
+func (m *Mesh) seed(now time.Time) string {
+	if len(m.seeds) == 0 {
+		return ""
+	}
+	turn := int(now.Sub(m.startedAt) / seedInterval)
+	return m.seeds[(turn+int(relayWeight(m.self.VM)%uint64(len(m.seeds))))%len(m.seeds)]
+}
+
 // seeking reports whether no relay of this VM's domain sends to it. The lock is held.
 func (m *Mesh) seeking(now time.Time) bool {
 	if !m.large() {
@@ -234,7 +245,7 @@
 	m.mu.Lock()
 	now := m.clock.Now()
 	to := m.receiver(addr)
-	relaying, seeking := m.large() && m.topology.relaying, m.seeking(now)
+	relaying, seeking, large := m.large() && m.topology.relaying, m.seeking(now), m.knowsLarge()
 	m.mu.Unlock()
 	if to.omitEngines {
 		pos.engines = 0
@@ -250,7 +261,7 @@
 		g.Capacity = m.self.Capacity
 		pos.identified = true
 	}
-	g.EnginesWithheld, g.ToRelay = to.omitEngines, to.isRelay
+	g.EnginesWithheld, g.ToRelay, g.Large = to.omitEngines, to.isRelay, large
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g.Records = m.composeRecords(pos, &to, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,9 @@
 	// is down.
 	crashProbeTimeout = 300 * time.Millisecond
 	sweepInterval     = 500 * time.Millisecond
+	// startQuiet is how long a VM that starts with its whole fleet sends to few others:
+	// a VM of a fifth of a core takes most of a second to start.
+	startQuiet = 1200 * time.Millisecond
 	// callerIdleTimeout is how long idle connections of callers stay open. It is
 	// longer than any caller keeps one open.
 	callerIdleTimeout = time.Minute
@@ -182,6 +185,9 @@
 	s := n.settings
 	n.transport = peer.New(net.ParseIP(s.IP), nil, n.log)
 	self := mesh.Self{VM: s.VM, Boot: n.boot, Domain: s.Domain, Address: addr, Capacity: capacity(s)}
+	if s.Bootstrap {
+		self.Quiet = startQuiet
+	}
 	n.mesh = mesh.New(ctx, self, mesh.PeerTransport(n.transport), n.state, n.clock, n.log)
 	n.watchPolicy.mesh = n.mesh
 	n.state.fleetSize = n.mesh.Size
