mesh, duty: VMs that start write and read less in the store

Cause: at the start of a large fleet each of 195 VMs wrote a member record and read the lease of its domain, as an earlier run might hold it; records serve only VMs whose seeds are all gone.

Change: in a large fleet only relays, and VMs to which nobody sends, write a record; a VM that starts with its whole fleet had no earlier run. Relays tell other domains of each other, which domains without a seed need. A VM logs when it begins or ends to watch the store.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -75,6 +75,7 @@
 	boot     plank.BootID
 	duration time.Duration // until expiry after a renewal
 	fenced   bool          // engines check terms
+	fresh    bool          // this VM had no earlier run that may hold the lease
 	store    plank.Store
 	clock    plank.Clock
 	log      *logrus.Entry
@@ -96,9 +97,10 @@
 }
 
 // New returns a lease that is not held. duration is the time from a renewal to
-// expiry; fenced is set if the domain's engines check terms.
-func New(domain plank.DomainID, self plank.VMID, boot plank.BootID, duration time.Duration, fenced bool, store plank.Store, clock plank.Clock, log *logrus.Entry) *Lease {
-	return &Lease{domain: domain, self: self, boot: boot, duration: duration, fenced: fenced, store: store, clock: clock, log: log.WithField("domain", domain)}
+// expiry; fenced is set if the domain's engines check terms, and fresh if this VM had no
+// earlier run that may hold the lease.
+func New(domain plank.DomainID, self plank.VMID, boot plank.BootID, duration time.Duration, fenced, fresh bool, store plank.Store, clock plank.Clock, log *logrus.Entry) *Lease {
+	return &Lease{domain: domain, self: self, boot: boot, duration: duration, fenced: fenced, fresh: fresh, store: store, clock: clock, log: log.WithField("domain", domain)}
 }
 
 // Term returns the term under which this VM may now give orders to engines, or 0
@@ -156,7 +158,7 @@
 	if rank < 0 || now.Before(l.nextReadAt) {
 		return
 	}
-	first := l.nextReadAt.IsZero()
+	first := l.nextReadAt.IsZero() && !l.fresh
 	wait := time.Duration(rank) * rankDelay
 	if !view.Relinquished {
 		wait += takeoverDelay
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -30,7 +30,7 @@
 func newVM(c *clock, store plank.Store, id plank.VMID, boot plank.BootID, fenced bool) vm {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return vm{duty.New("d1", id, boot, leaseDuration, fenced, store, c, log.WithField("vm", id)), id, boot}
+	return vm{duty.New("d1", id, boot, leaseDuration, fenced, false, store, c, log.WithField("vm", id)), id, boot}
 }
 
 // run steps the VMs every 100 ms for d. Each one sees the claims and boot IDs of
--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -14,12 +14,18 @@
 // PrefixMembers is the key prefix of the VMs' records in the platform's store.
 const PrefixMembers = "members/"
 
-// registerRetryDelay is the pause between attempts to register.
+// registerRetryDelay is the interval at which a VM checks whether to register, and tries.
 const registerRetryDelay = 500 * time.Millisecond
 
-// seekTimeout is how long a VM waits for messages of the VMs that it was told of before it
-// reads the records of all from the store: it tries two of them.
-const seekTimeout = 2 * seedInterval
+// The times of registration.
+const (
+	// registerDelay is how long a VM that starts waits for others to tell how large the
+	// fleet is.
+	registerDelay = 500 * time.Millisecond
+	// seekTimeout is how long a VM waits for messages of the VMs that it was told of
+	// before it reads the records of all from the store: it tries two of them.
+	seekTimeout = 2 * seedInterval
+)
 
 // A Member is a VM's record in the store.
 type Member struct {
@@ -29,19 +35,46 @@
 	Capacity float64
 }
 
-// Register writes this VM's record to the store. If no VM sends messages to this VM, it
-// contacts those that have a record. It retries until it succeeds or ctx ends.
+// Register writes this VM's record to the store, by which VMs find others whose seeds are
+// gone. In a large fleet only relays have records. A VM to which no other sends messages
+// writes one as well, and contacts all VMs that have one. Register retries until it
+// succeeds or ctx ends.
 func (m *Mesh) Register(ctx context.Context, store plank.Store) {
-	for {
-		err := m.register(ctx, store)
-		if err == nil || ctx.Err() != nil {
+	for registered := false; ; {
+		found := m.hears()
+		if !registered && m.mustRegister(found) {
+			if err := m.register(ctx, store); err != nil {
+				m.log.WithError(err).Warn("mesh: registration failed, will be retried")
+			} else {
+				registered = true
+			}
+		}
+		if registered && !found && m.clock.Now().Sub(m.startedAt) >= seekTimeout {
+			if err := m.contactMembers(ctx, store); err != nil {
+				m.log.WithError(err).Warn("mesh: member records not read, will be retried")
+			} else {
+				return
+			}
+		}
+		if registered && found || !pause.For(ctx, registerRetryDelay) {
 			return
 		}
-		m.log.WithError(err).Warn("mesh: registration failed, will be retried")
-		pause.For(ctx, registerRetryDelay)
 	}
 }
 
+// mustRegister reports whether this VM writes its record now. found is set if another VM
+// sends messages to it.
+func (m *Mesh) mustRegister(found bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	running := m.clock.Now().Sub(m.startedAt)
+	if m.large() {
+		return m.topology.relaying
+	}
+	return running >= max(m.self.Quiet, registerDelay) && (found || running >= seekTimeout)
+}
+
+// register writes this VM's record.
 func (m *Mesh) register(ctx context.Context, store plank.Store) error {
 	key := PrefixMembers + string(m.self.VM)
 	value, err := json.Marshal(Member{Address: m.self.Address, Domain: m.self.Domain, Boot: m.self.Boot, Capacity: m.self.Capacity})
@@ -56,16 +89,10 @@
 			_, err = store.Put(ctx, key, value, old.Version)
 		}
 	}
-	if err != nil {
-		return err
-	}
-	m.log.WithField("addr", m.self.Address).Info("mesh: registered")
-	for until := m.clock.Now().Add(seekTimeout); m.clock.Now().Before(until); {
-		if !pause.For(ctx, seekTimeout/10) || m.hears() {
-			return nil
-		}
+	if err == nil {
+		m.log.WithField("addr", m.self.Address).Info("mesh: registered")
 	}
-	return m.contactMembers(ctx, store)
+	return err
 }
 
 // hears reports whether any VM is alive.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -151,6 +151,8 @@
 	// those that it was given.
 	contacts map[string]bool
 	seeds    []string
+	// slow is set while this VM gets too little processor time to act for others.
+	slow bool
 	// startedAt is when this VM started.
 	startedAt time.Time
 	// largeUntil is the time until which the fleet counts as large because another VM
@@ -357,7 +359,11 @@
 		p.LastReceived = received
 	}
 	if !wasAlive && p.IsAlive(now) {
-		m.log.WithFields(logrus.Fields{"vm": p.VM, "addr": p.Address, "direct": p.direct}).Info("mesh: peer reachable")
+		level := logrus.InfoLevel
+		if !p.direct {
+			level = logrus.DebugLevel // a large fleet would log each VM at each other
+		}
+		m.log.WithFields(logrus.Fields{"vm": p.VM, "addr": p.Address}).Log(level, "mesh: peer reachable")
 	}
 }
 
@@ -400,6 +406,15 @@
 	return reachable, known
 }
 
+// SetSlow tells the other VMs whether this VM gets too little processor time to act for
+// others.
+func (m *Mesh) SetSlow(slow bool) {
+	m.mu.Lock()
+	m.slow = slow
+	m.mu.Unlock()
+	m.Wake()
+}
+
 // IsRelay reports whether this VM forwards the states of others.
 func (m *Mesh) IsRelay() bool {
 	m.mu.Lock()
--- a/internal/mesh/record.go
+++ b/internal/mesh/record.go
@@ -73,7 +73,8 @@
 	case to.seeking && p.Domain == to.domain:
 		return true
 	case m.topology.relaying:
-		return to.domain == m.self.Domain || p.Domain == m.self.Domain
+		// Relays of domains that have no seed find each other by the relays of others.
+		return to.domain == m.self.Domain || p.Domain == m.self.Domain || p.Relaying
 	}
 	// Other VMs forward only what the relays of their domain cannot have received: VMs
 	// that send to them as they seek relays, or after a long partition.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.watchPolicy = &watchPolicy{turn: make(chan struct{}), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
+	n.watchPolicy = &watchPolicy{turn: make(chan struct{}), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
@@ -37,6 +38,7 @@
 	mesh   *mesh.Mesh
 	domain plank.DomainID
 	clock  plank.Clock
+	log    *logrus.Entry
 	view   *view.Publisher
 	// bound is the time within which a configuration must be in force, and link the
 	// bandwidth of this VM's link in Mbit/s.
@@ -146,6 +148,13 @@
 	defer wp.mu.Unlock()
 	before := wp.watching
 	wp.watching = wp.decide(now)
+	if wp.watching != before {
+		fields := logrus.Fields{"watching": wp.watching, "rank": wp.rank, "alive": wp.alive}
+		if !wp.peerUpdate.IsZero() {
+			fields["update_age_ms"] = now.Sub(wp.peerUpdate).Milliseconds()
+		}
+		wp.log.WithFields(fields).Info("node: whether this VM watches the store has changed")
+	}
 	switch {
 	case wp.watching && !before:
 		close(wp.turn)
