duty: a slow holder hands its lease over

Two of three holders slowed to a fifth of their processor took the grants of a fleet from 165 a second to 6 for 8 s.

Change: a VM measures how late its timers fire. While three of five are 60 ms late, and 3 s after, it is slow: it hands its leases over at once, comes last as a candidate, and is no relay. One pause alone is not enough.

--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -35,6 +35,8 @@
 	ColdLoads int
 	// Relaying is set if the VM forwards the states of others.
 	Relaying bool
+	// Slow is set if the VM gets too little processor time to act for others.
+	Slow bool
 
 	weight uint64 // of relayWeight
 	// sendInterval is the minimum interval of the VM's messages.
@@ -115,7 +117,7 @@
 
 // merge applies the state in a message. change is the number of this change.
 func (p *Peer) merge(g *wire.Gossip, change uint64) {
-	p.Leaving, p.Settled, p.Relaying = g.Leaving, g.Settled, g.Relaying
+	p.Leaving, p.Settled, p.Relaying, p.Slow = g.Leaving, g.Settled, g.Relaying, g.Slow
 	p.Manifest, p.ColdLoads = plank.ManifestVersion(g.Manifest), int(g.ColdLoads)
 	inFlight := make(map[plank.EndpointID]InFlightCalls, len(g.Flights))
 	for _, f := range g.Flights {
@@ -131,7 +133,8 @@
 		p.Leases[plank.DomainID(d.Domain)] = Lease{Term: plank.Term(d.Term), Version: plank.ObjectVersion(d.Version)}
 	}
 	status := &wire.Gossip{
-		Leaving: g.Leaving, Settled: g.Settled, Relaying: g.Relaying, Manifest: g.Manifest, ColdLoads: g.ColdLoads, Duties: g.Duties, NewsMicros: -1,
+		Leaving: g.Leaving, Settled: g.Settled, Relaying: g.Relaying, Slow: g.Slow, Manifest: g.Manifest, ColdLoads: g.ColdLoads, Duties: g.Duties,
+		NewsMicros: -1,
 	}
 	if p.status == nil || !sameCalls || !proto.Equal(p.status, status) {
 		p.statusChange = change
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -56,7 +56,7 @@
 	for _, e := range m.engines {
 		isHolder = isHolder || e.Holder == m.self.VM
 	}
-	self := neighbor{vm: m.self.VM, domain: m.self.Domain, addr: m.self.Address, capacity: m.self.Capacity, weight: relayWeight(m.self.VM), usable: true, isHolder: isHolder}
+	self := neighbor{vm: m.self.VM, domain: m.self.Domain, addr: m.self.Address, capacity: m.self.Capacity, weight: relayWeight(m.self.VM), usable: !m.slow, isHolder: isHolder}
 	others := make([]neighbor, 0, len(m.peers))
 	for _, p := range m.peers {
 		if !p.targetSince.IsZero() && now.Sub(p.targetSince) > relayTimeout && now.Sub(p.LastReceived) > relayTimeout {
@@ -64,7 +64,7 @@
 		}
 		others = append(others, neighbor{
 			vm: p.VM, domain: p.Domain, addr: p.Address, capacity: p.Capacity, weight: p.weight,
-			usable:   !p.Leaving && !now.Before(p.shunnedUntil) && latest[p.Domain].Sub(p.LastReceived) < relayTimeout,
+			usable:   !p.Leaving && !p.Slow && !now.Before(p.shunnedUntil) && latest[p.Domain].Sub(p.LastReceived) < relayTimeout,
 			isHolder: len(p.Leases) > 0 && p.IsAlive(now), readsRecords: p.readsRecords || p.LastReceived.IsZero(),
 			sendsHere: p.isDirectlyAlive(now), seeking: p.seeking, usesAsRelay: p.usesAsRelay,
 		})
@@ -245,7 +245,7 @@
 	m.mu.Lock()
 	now := m.clock.Now()
 	to := m.receiver(addr)
-	relaying, seeking, large := m.large() && m.topology.relaying, m.seeking(now), m.knowsLarge()
+	relaying, seeking, large, slow := m.large() && m.topology.relaying, m.seeking(now), m.knowsLarge(), m.slow
 	m.mu.Unlock()
 	if to.omitEngines {
 		pos.engines = 0
@@ -261,7 +261,7 @@
 		g.Capacity = m.self.Capacity
 		pos.identified = true
 	}
-	g.EnginesWithheld, g.ToRelay, g.Large = to.omitEngines, to.isRelay, large
+	g.EnginesWithheld, g.ToRelay, g.Large, g.Slow = to.omitEngines, to.isRelay, large, slow
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g.Records = m.composeRecords(pos, &to, now)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/duty"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
@@ -36,6 +37,7 @@
 	lastClaimer map[plank.DomainID]plank.VMID // the peer that last claimed the duty
 	// nextHandover is the earliest time of the next handover, set at each one.
 	nextHandover time.Time
+	delay        delay.Meter
 	// draining is set when the leases are to be released.
 	draining atomic.Bool
 }
@@ -48,7 +50,12 @@
 
 // run steps the leases until ctx is cancelled.
 func (l *dutyLoop) run(ctx context.Context) {
-	for pause.For(ctx, dutyInterval) {
+	for due := l.n.clock.Now().Add(dutyInterval); pause.For(ctx, dutyInterval); due = l.n.clock.Now().Add(dutyInterval) {
+		now := l.n.clock.Now()
+		if l.delay.Observe(now.Sub(due), now) {
+			l.n.log.WithFields(logrus.Fields{"slow": l.delay.IsSlow(), "late_ms": now.Sub(due).Milliseconds()}).Warn("node: processor time for duties changed")
+			l.n.mesh.SetSlow(l.delay.IsSlow())
+		}
 		l.step(ctx)
 	}
 }
@@ -61,7 +68,7 @@
 	for _, d := range l.domains() {
 		lease := l.leases[d]
 		if lease == nil {
-			lease = duty.New(d, n.settings.VM, n.boot, n.settings.Bounds.Lease, n.settings.FencingEnforced, n.store, n.clock, n.log)
+			lease = duty.New(d, n.settings.VM, n.boot, n.settings.Bounds.Lease, n.settings.FencingEnforced, n.settings.Bootstrap, n.store, n.clock, n.log)
 			l.leases[d] = lease
 			l.lastAlive[d] = now
 		}
@@ -117,6 +124,9 @@
 	draining := false // whether a VM of the domain is
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
 	capacity := map[plank.VMID]float64{n.settings.VM: capacity(n.settings)}
+	if l.delay.IsSlow() {
+		capacity[n.settings.VM] = 0 // after all others
+	}
 	if n.settings.Domain == d {
 		inDomain = append(inDomain, n.settings.VM)
 	} else {
@@ -128,6 +138,9 @@
 		}
 		view.Boots[p.VM] = p.Boot
 		capacity[p.VM] = p.Capacity
+		if p.Slow {
+			capacity[p.VM] = 0
+		}
 		if claim, ok := p.Leases[d]; ok {
 			view.Claimed = true
 			l.lastClaimer[d] = p.VM
@@ -212,10 +225,10 @@
 	if held == 0 {
 		return
 	}
-	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true}}
+	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true, slow: l.delay.IsSlow()}}
 	inDomain := l.n.settings.Domain == d
 	l.n.mesh.Each(func(p *mesh.Peer) {
-		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled}
+		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled, slow: p.Slow}
 		inDomain = inDomain || p.Domain == d && slices.Contains(view.Candidates, p.VM)
 	})
 	var candidates []candidate
@@ -226,7 +239,7 @@
 	}
 	if to := handoverTarget(l.n.settings.VM, candidates, held, l.n.settings.Bounds.Lease); to != "" && !now.Before(l.nextHandover) {
 		l.nextHandover = now.Add(handoverRetryInterval)
-		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity}).Info("duty: handing the dispatch lease over")
+		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity, "slow": l.delay.IsSlow()}).Info("duty: handing the dispatch lease over")
 		lease.Release(ctx, to)
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -24,23 +24,32 @@
 type candidate struct {
 	vm       plank.VMID
 	capacity float64
-	// settled is set when the VM has run for a few seconds.
-	settled bool
+	// settled is set when the VM has run for a few seconds, and slow if it gets too
+	// little processor time.
+	settled, slow bool
 }
 
 // handoverTarget returns the VM to which a holder hands over a duty that it has
 // held for heldFor, or "" if it keeps the duty. The candidates are those of the
-// domain, the largest first; a holder of another domain is not among them.
+// domain, the largest first and slow ones last; a holder of another domain is not
+// among them. A holder that is slow hands over at once, if another VM is not.
 func handoverTarget(self plank.VMID, candidates []candidate, heldFor, lease time.Duration) plank.VMID {
+	own := slices.IndexFunc(candidates, func(c candidate) bool { return c.vm == self })
+	if own >= 0 && candidates[own].slow {
+		i := slices.IndexFunc(candidates, func(c candidate) bool { return c.settled && !c.slow })
+		if i < 0 {
+			return ""
+		}
+		return candidates[i].vm
+	}
 	if heldFor < time.Duration(minHeldLeases*float64(lease)) {
 		return ""
 	}
-	own := slices.IndexFunc(candidates, func(c candidate) bool { return c.vm == self })
 	for i, c := range candidates {
 		switch {
 		case i == own:
 			return ""
-		case !c.settled:
+		case !c.settled, c.slow:
 			continue
 		case own < 0 || c.capacity >= handoverFactor*candidates[own].capacity:
 			return c.vm
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -13,9 +13,10 @@
 // domain had 0.8 cores each.
 func TestHandoverTarget(t *testing.T) {
 	const lease = 3 * time.Second
-	large := candidate{"large", 1, true}
-	starting := candidate{"large", 1, false}
-	small := candidate{"small", 0.2, true}
+	large := candidate{vm: "large", capacity: 1, settled: true}
+	starting := candidate{vm: "large", capacity: 1}
+	small := candidate{vm: "small", capacity: 0.2, settled: true}
+	slow := candidate{vm: "large", settled: true, slow: true}
 	for _, test := range []struct {
 		name       string
 		self       plank.VMID
@@ -27,7 +28,10 @@
 		{"not before 1.5 leases have passed", "small", []candidate{large, small}, 4 * time.Second, ""},
 		{"not to a VM that has just started", "small", []candidate{starting, small}, 5 * time.Second, ""},
 		{"a large holder keeps the duty", "large", []candidate{large, small}, time.Hour, ""},
-		{"not to a VM of equal capacity", "b", []candidate{{"a", 1, true}, {"b", 1, true}}, time.Hour, ""},
+		{"not to a VM of equal capacity", "b", []candidate{{vm: "a", capacity: 1, settled: true}, {vm: "b", capacity: 1, settled: true}}, time.Hour, ""},
+		{"a slow holder hands over at once", "large", []candidate{small, slow}, time.Second, "small"},
+		{"not if all others are slow as well", "large", []candidate{slow, {vm: "b", settled: true, slow: true}}, time.Hour, ""},
+		{"not to a slow VM", "small", []candidate{slow, small}, time.Hour, ""},
 		{"a holder of another domain hands over to a VM of the domain", "far", []candidate{small}, 5 * time.Second, "small"},
 		{"a holder of another domain keeps the duty of a domain without VMs", "far", nil, time.Hour, ""},
 	} {
