--- a/internal/mesh/export_test.go
+++ b/internal/mesh/export_test.go
@@ -9,6 +9,10 @@
 // called before the first Contact.
 func (m *Mesh) SetGiveUpTimeout(d time.Duration) { m.giveUpTimeout = d }
 
+// SetRelayFleet sets the least number of VMs at which relays are used. It must be called
+// before the first Contact.
+func (m *Mesh) SetRelayFleet(n int) { m.relayFleet = n }
+
 // ProbeLost probes the lost addresses once.
 func (m *Mesh) ProbeLost() { m.probeLost() }
 
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -52,6 +53,8 @@
 	network  *network
 	from, to string
 	messages chan []byte
+	// legacy is set if either end is of a version without relays.
+	legacy   bool
 	ctx      context.Context
 	reset    context.CancelFunc
 	sent     int
@@ -74,8 +77,9 @@
 // A link is the transport of one VM.
 type link struct {
 	*network
-	from string
-	ctx  context.Context // ends with the VM
+	from   string
+	legacy bool            // the VM is of a version without relays
+	ctx    context.Context // ends with the VM
 }
 
 // Discard implements mesh.Transport.
@@ -93,7 +97,7 @@
 	if vm == nil {
 		return nil, errReset
 	}
-	s := &stream{network: l.network, from: l.from, to: to, messages: make(chan []byte, windowMessages)}
+	s := &stream{network: l.network, from: l.from, to: to, legacy: l.legacy || vm.legacy, messages: make(chan []byte, windowMessages)}
 	s.ctx, s.reset = context.WithCancel(l.ctx)
 	context.AfterFunc(ctx, s.reset)
 	context.AfterFunc(vm.ctx, s.reset)
@@ -108,6 +112,13 @@
 
 // Send implements mesh.Stream.
 func (s *stream) Send(m proto.Message) error {
+	if s.legacy {
+		g, ok := m.(*wire.Gossip)
+		if !ok {
+			g = m.(*wire.Call).GetGossip()
+		}
+		g.Sequence, g.ReadsRecords, g.Relaying, g.Seeking, g.ToRelay, g.Large, g.Records = 0, false, false, false, false, false, nil
+	}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return err
@@ -218,10 +229,11 @@
 // A fleetVM is one VM of a fleet.
 type fleetVM struct {
 	*mesh.Mesh
-	self  mesh.Self
-	state *counter
-	ctx   context.Context
-	stop  context.CancelFunc
+	self   mesh.Self
+	state  *counter
+	legacy bool // of a version without relays
+	ctx    context.Context
+	stop   context.CancelFunc
 }
 
 // A fleet is a number of VMs in five domains.
@@ -229,6 +241,7 @@
 	t       *testing.T
 	network *network
 	vms     []*fleetVM
+	legacy  int          // number of the first VM of a version without relays
 	ended   atomic.Int64 // streams that were closed for silence or an error
 }
 
@@ -246,8 +259,11 @@
 func (*fleet) domainOf(addr string) string { return strings.Split(addr, "-")[0] }
 
 // startFleet starts n VMs at once, which know three of them.
-func startFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, network: &network{vms: make(map[string]*fleetVM)}}
+func startFleet(t *testing.T, n int) *fleet { return startMixedFleet(t, n, 0) }
+
+// startMixedFleet starts n VMs at once, of which the last are of a version without relays.
+func startMixedFleet(t *testing.T, n, legacy int) *fleet {
+	f := &fleet{t: t, network: &network{vms: make(map[string]*fleetVM)}, legacy: n - legacy}
 	f.network.fleet = f
 	for i := range n {
 		f.vms = append(f.vms, f.start(i, 1))
@@ -281,7 +297,11 @@
 		v.self.Quiet = time.Second
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
-	v.Mesh = mesh.New(v.ctx, v.self, link{network: f.network, from: addr, ctx: v.ctx}, v.state, plank.SystemClock{}, log.WithField("vm", i))
+	v.legacy = i >= f.legacy
+	v.Mesh = mesh.New(v.ctx, v.self, link{network: f.network, from: addr, legacy: v.legacy, ctx: v.ctx}, v.state, plank.SystemClock{}, log.WithField("vm", i))
+	if v.legacy {
+		v.SetRelayFleet(math.MaxInt)
+	}
 	f.network.mu.Lock()
 	f.network.vms[addr] = v
 	f.network.mu.Unlock()
@@ -526,3 +546,28 @@
 		}
 	}
 }
+
+// During an update VMs of the version without relays, which send to all others, and of
+// this one know each other and each other's counts.
+func TestMixedVersionsInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startMixedFleet(t, 45, 15)
+		f.within(8*time.Second, "all VMs reach each other", func() bool { return unreachable(f.vms) == 0 })
+		time.Sleep(2 * targetLinger)
+		for range 5 {
+			for _, v := range f.vms {
+				v.state.add(1)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, unreachable(f.vms), 0)
+		for _, v := range f.vms {
+			for _, other := range f.vms {
+				if v != other {
+					assert.Equal(t, v.state.countOf(other.self.VM), int64(5), "%s at %s", other.self.VM, v.self.VM)
+				}
+			}
+		}
+	})
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -134,6 +134,8 @@
 	ctx       context.Context
 	// giveUpTimeout is the silence after which an address is only probed.
 	giveUpTimeout time.Duration
+	// relayFleet is the least number of VMs at which relays are used.
+	relayFleet int
 
 	// composeMu makes the numbers of messages follow the order of their contents, and
 	// mergeMu the local state merge a VM's messages in the order of their numbers.
@@ -175,7 +177,7 @@
 func New(ctx context.Context, self Self, transport Transport, local LocalState, clock plank.Clock, log *logrus.Entry) *Mesh {
 	m := &Mesh{
 		startedAt: clock.Now(),
-		self:      self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout,
+		self:      self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout, relayFleet: relayFleet,
 		peers: make(map[plank.VMID]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
 		engines: make(map[plank.EndpointID]Engine), recent: make(map[plank.EndpointID]*recentAdapters),
 	}
@@ -227,7 +229,7 @@
 
 // knowsLarge reports whether this VM knows so many VMs that the fleet uses relays. The
 // lock is held.
-func (m *Mesh) knowsLarge() bool { return m.size()+1 >= relayFleet }
+func (m *Mesh) knowsLarge() bool { return m.size()+1 >= m.relayFleet }
 
 // Wake makes the send loops send changes without waiting for the next heartbeat.
 func (m *Mesh) Wake() {
