grant, duty, front: a process that was paused checks its leases first

Change: a timer notes pauses of a second and more. Until the duty loop has checked the leases, in a check that began after the pause, nothing is granted or ordered; a lease that expired meanwhile is used once it is renewed, or, while the store does not answer, if engines check terms. Requests that are read within 300 ms after a pause longer than their wait are sent to another holder.

--- a/internal/delay/meter_test.go
+++ b/internal/delay/meter_test.go
@@ -9,7 +9,6 @@
 )
 
 func TestMeter(t *testing.T) {
-	const interval = 150 * time.Millisecond
 	repeat := func(late time.Duration, n int) (out []time.Duration) {
 		for range n {
 			out = append(out, late)
@@ -38,10 +37,35 @@
 		t.Run(test.name, func(t *testing.T) {
 			m, now := new(delay.Meter), time.Unix(0, 0)
 			for _, late := range test.late {
-				now = now.Add(interval + late)
+				now = now.Add(delay.Interval + late)
 				m.Observe(late, now)
 			}
 			assert.Equal(t, m.IsSlow(), test.slow)
 		})
 	}
 }
+
+// After a pause the leases count as unconfirmed until a check that began after it, also
+// before the timer has fired.
+func TestPause(t *testing.T) {
+	m, now := new(delay.Meter), time.Unix(0, 0)
+	tick := func(late time.Duration) {
+		now = now.Add(delay.Interval + late)
+		m.Observe(late, now)
+	}
+	tick(0)
+	assert.Assert(t, !m.IsUnconfirmed(now))
+	checked := m.Pauses(now) // a check begins, and the process is paused in it
+	now = now.Add(3 * time.Second)
+	assert.Assert(t, m.IsUnconfirmed(now))
+	m.Confirm(checked)
+	assert.Assert(t, m.IsUnconfirmed(now))
+	tick(0)
+	m.Confirm(m.Pauses(now))
+	assert.Assert(t, !m.IsUnconfirmed(now))
+	length, ago := m.LastPause(now)
+	assert.Equal(t, length, 3*time.Second)
+	assert.Equal(t, ago, delay.Interval)
+	tick(500 * time.Millisecond)
+	assert.Assert(t, !m.IsUnconfirmed(now))
+}
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -60,6 +60,8 @@
 	// Relinquished is set when the VM that claimed the lease last is alive and no
 	// longer claims it.
 	Relinquished bool
+	// Paused is set if the process was paused and its leases were not checked since.
+	Paused bool
 	// Candidates are the VMs that may acquire the lease, in order of preference.
 	// This VM is included if it may.
 	Candidates []plank.VMID
@@ -80,7 +82,10 @@
 	clock    plank.Clock
 	log      *logrus.Entry
 
-	held       bool
+	held bool
+	// unverified is set if the lease expired in a pause of the process, so that another
+	// VM may hold it.
+	unverified bool
 	acquiredAt time.Time
 	term       plank.Term
 	version    plank.ObjectVersion
@@ -106,7 +111,7 @@
 // Term returns the term under which this VM may now give orders to engines, or 0
 // if it may not.
 func (l *Lease) Term() plank.Term {
-	if !l.held || l.term == l.fencedTerm {
+	if !l.held || l.unverified || l.term == l.fencedTerm {
 		return 0
 	}
 	if !l.fenced && !l.clock.Now().Before(l.expires.Add(-time.Duration((1-unfencedFraction)*float64(l.duration)))) {
@@ -141,6 +146,10 @@
 func (l *Lease) Step(ctx context.Context, view DomainView) {
 	now := l.clock.Now()
 	if l.held {
+		if view.Paused && !now.Before(l.expires) {
+			l.unverified = true
+			l.renewAt = now
+		}
 		if !now.Before(l.renewAt) {
 			l.renew(ctx, now)
 		}
@@ -233,6 +242,7 @@
 }
 
 func (l *Lease) renewed(sentAt time.Time) {
+	l.unverified = false
 	l.expires = sentAt.Add(l.duration)
 	l.renewAt = sentAt.Add(l.duration / renewalsPerLease)
 }
@@ -265,6 +275,8 @@
 	l.renewAt = now.Add(pollInterval)
 	var conflict *plank.ConflictError
 	if !errors.As(err, &conflict) {
+		// While the store does not answer, engines tell if another VM holds the lease.
+		l.unverified = l.unverified && !l.fenced
 		l.log.WithError(err).Warn("duty: lease not renewed")
 		return
 	}
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -194,3 +194,52 @@
 	}
 	assert.Assert(t, b.Term() > 0)
 }
+
+// A holder that had been paused for longer than its lease gave orders under it after it
+// woke, before it had read that another VM had acquired it.
+func TestPausedHolderVerifiesItsLease(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		pause       time.Duration
+		fenced      bool
+		taken, away bool // another VM acquires the lease; the store does not answer
+		wantStep    bool // whether the lease is held after a step
+	}{
+		{"a short pause", time.Second, true, false, false, true},
+		{"not taken meanwhile", 5 * time.Second, true, false, false, true},
+		{"taken meanwhile", 5 * time.Second, true, true, false, false},
+		{"the store is away and engines check terms", 5 * time.Second, true, false, true, true},
+		{"the store is away and engines do not", 5 * time.Second, false, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, store := &clock{now: time.Unix(1000, 0)}, memory.New()
+			gate := &switchStore{Store: store}
+			a, b := newVM(c, gate, "a", "1", test.fenced), newVM(c, store, "b", "1", test.fenced)
+			run(c, 3*time.Second, a)
+			assert.Assert(t, a.Term() > 0)
+			if test.taken {
+				run(c, test.pause, b)
+				assert.Assert(t, b.Term() > 0)
+			} else {
+				c.now = c.now.Add(test.pause)
+			}
+			gate.away = test.away
+			a.Step(context.Background(), duty.DomainView{Paused: true, Candidates: []plank.VMID{"a", "b"}})
+			assert.Equal(t, a.Term() > 0, test.wantStep)
+		})
+	}
+}
+
+// A switchStore is a store that may be away.
+type switchStore struct {
+	plank.Store
+	away bool
+}
+
+// Put implements plank.Store.
+func (s *switchStore) Put(ctx context.Context, key string, value []byte, want plank.ObjectVersion) (plank.ObjectVersion, error) {
+	if s.away {
+		return 0, &plank.UnavailableError{Target: "store", Op: "put", Err: context.DeadlineExceeded}
+	}
+	return s.Store.Put(ctx, key, value, want)
+}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -53,7 +53,10 @@
 // A Broker requests reservations from the holder of an engine's domain, which is
 // this VM or a peer, and serves the reservation requests of peers.
 type Broker struct {
-	Local     *grant.Scheduler // for engines whose lease this VM holds
+	Local *grant.Scheduler // for engines whose lease this VM holds
+	// LastPause returns the length of the last pause of this process and how long ago it
+	// ended.
+	LastPause func() (length, ago time.Duration)
 	Chooser   *Chooser
 	Transport *peer.Transport
 	Clock     plank.Clock
@@ -104,6 +107,10 @@
 // report that the request is queued. It detects holders that are cut off.
 const ackTimeout = 250 * time.Millisecond
 
+// readAfterPause is how long after a pause of the process the requests that arrived in it
+// may be read.
+const readAfterPause = 300 * time.Millisecond
+
 // replyMargin is how long after the end of the holder's wait its reply may arrive.
 const replyMargin = 150 * time.Millisecond
 
@@ -262,6 +269,11 @@
 // the peer closes the stream.
 func (b *Broker) ServeReserve(req *wire.ReserveRequest, s *peer.Stream) {
 	received := b.Clock.Now()
+	if length, ago := b.LastPause(); ago < readAfterPause && length > time.Duration(req.WaitMicros)*time.Microsecond {
+		// It may have waited in the socket for as long, and its caller no longer waits.
+		(&replier{broker: b, stream: s}).sendFinal(&wire.ReserveReply{Reason: "the holder was paused", NotHeld: true})
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	notes := make(chan *wire.ReserveNote, 2)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -22,6 +22,8 @@
 	maxSleep = 250 * time.Millisecond
 	// idleSleep is the same for a VM that holds no lease.
 	idleSleep = time.Second
+	// unconfirmedRetry is the time between checks whether the leases were confirmed.
+	unconfirmedRetry = 20 * time.Millisecond
 	// waitLogInterval is the time between log lines on what calls wait for.
 	waitLogInterval = time.Second
 )
@@ -54,6 +56,9 @@
 	PublishColdLoads func(n int)
 	// PublishState publishes the state of an engine to other VMs; nil withdraws it.
 	PublishState func(id plank.EndpointID, s *wire.EngineState)
+	// IsUnconfirmed reports whether the process was paused and its leases were not checked
+	// since. Meanwhile no orders are given and no calls granted.
+	IsUnconfirmed func() bool
 	// ReportFenced is called when an engine refused an order of the given term
 	// because it has seen a higher one.
 	ReportFenced func(domain plank.DomainID, term plank.Term)
@@ -122,6 +127,9 @@
 	if len(s.engines) == 0 && len(s.changed) == 0 && s.publishedCold == 0 {
 		return idleSleep
 	}
+	if s.deps.IsUnconfirmed() {
+		return unconfirmedRetry
+	}
 	now := s.deps.Clock.Now()
 	wait := maxSleep
 	here, elsewhere := s.coldLoads(), s.deps.RemoteColdLoads()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
-	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/duty"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
@@ -37,7 +36,6 @@
 	lastClaimer map[plank.DomainID]plank.VMID // the peer that last claimed the duty
 	// nextHandover is the earliest time of the next handover, set at each one.
 	nextHandover time.Time
-	delay        delay.Meter
 	// draining is set when the leases are to be released.
 	draining atomic.Bool
 }
@@ -50,12 +48,7 @@
 
 // run steps the leases until ctx is cancelled.
 func (l *dutyLoop) run(ctx context.Context) {
-	for due := l.n.clock.Now().Add(dutyInterval); pause.For(ctx, dutyInterval); due = l.n.clock.Now().Add(dutyInterval) {
-		now := l.n.clock.Now()
-		if l.delay.Observe(now.Sub(due), now) {
-			l.n.log.WithFields(logrus.Fields{"slow": l.delay.IsSlow(), "late_ms": now.Sub(due).Milliseconds()}).Warn("node: processor time for duties changed")
-			l.n.mesh.SetSlow(l.delay.IsSlow())
-		}
+	for pause.For(ctx, dutyInterval) {
 		l.step(ctx)
 	}
 }
@@ -64,6 +57,8 @@
 	l.applyFencings()
 	n := l.n
 	now := n.clock.Now()
+	pauses := n.delay.Pauses(now)
+	defer func() { n.delay.Confirm(pauses) }()
 	v := n.view.Load()
 	for _, d := range l.domains() {
 		lease := l.leases[d]
@@ -76,6 +71,7 @@
 			lease.Release(ctx, l.successor(d, now))
 		} else {
 			view := l.domainView(d, now)
+			view.Paused = n.delay.IsUnconfirmed(now)
 			lease.Step(ctx, view)
 			l.handOver(ctx, d, lease, view, now)
 		}
@@ -124,7 +120,7 @@
 	draining := false // whether a VM of the domain is
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
 	capacity := map[plank.VMID]float64{n.settings.VM: capacity(n.settings)}
-	if l.delay.IsSlow() {
+	if l.n.delay.IsSlow() {
 		capacity[n.settings.VM] = 0 // after all others
 	}
 	if n.settings.Domain == d {
@@ -225,7 +221,7 @@
 	if held == 0 {
 		return
 	}
-	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true, slow: l.delay.IsSlow()}}
+	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true, slow: l.n.delay.IsSlow()}}
 	inDomain := l.n.settings.Domain == d
 	l.n.mesh.Each(func(p *mesh.Peer) {
 		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled, slow: p.Slow}
@@ -239,7 +235,7 @@
 	}
 	if to := handoverTarget(l.n.settings.VM, candidates, held, l.n.settings.Bounds.Lease); to != "" && !now.Before(l.nextHandover) {
 		l.nextHandover = now.Add(handoverRetryInterval)
-		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity, "slow": l.delay.IsSlow()}).Info("duty: handing the dispatch lease over")
+		l.n.log.WithFields(logrus.Fields{"domain": d, "to": to, "capacity": capacity(l.n.settings), "of": known[to].capacity, "slow": l.n.delay.IsSlow()}).Info("duty: handing the dispatch lease over")
 		lease.Release(ctx, to)
 	}
 }
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/meter"
 	"knapweedplank.org/plank/internal/pause"
 )
@@ -38,6 +40,21 @@
 	n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, ln)
 }
 
+// observeDelay measures how late timers fire, until ctx is cancelled.
+func (n *Node) observeDelay(ctx context.Context) {
+	for due := n.clock.Now().Add(delay.Interval); pause.For(ctx, delay.Interval); due = n.clock.Now().Add(delay.Interval) {
+		now := n.clock.Now()
+		late := now.Sub(due)
+		if n.delay.Observe(late, now) {
+			n.log.WithFields(logrus.Fields{"slow": n.delay.IsSlow(), "late_ms": late.Milliseconds()}).Warn("node: whether this VM is too slow for duties has changed")
+			n.mesh.SetSlow(n.delay.IsSlow())
+		}
+		if late >= delay.MinPause {
+			n.log.WithField("paused_ms", late.Milliseconds()).Warn("node: the process was paused, leases are checked before they are used")
+		}
+	}
+}
+
 // observe updates the gauges until ctx is cancelled.
 func (n *Node) observe(ctx context.Context, dropped func() uint64) {
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, n.registry).Update(value) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/conns"
+	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/duty"
 	"knapweedplank.org/plank/internal/front"
 	"knapweedplank.org/plank/internal/grant"
@@ -81,6 +82,7 @@
 	chooser      *front.Chooser
 	health       *health.Table
 	duties       *dutyLoop
+	delay        delay.Meter
 	state        *state
 	releaseTimes releaseTimes
 	table        *watch.Table
@@ -217,6 +219,7 @@
 			n.mesh.SetOwnEngine(id, s)
 			n.state.setEngine(id, s)
 		},
+		IsUnconfirmed: func() bool { return n.delay.IsUnconfirmed(n.clock.Now()) },
 		ReportFenced: func(domain plank.DomainID, term plank.Term) {
 			select {
 			case n.duties.fenced <- fencedTerm{domain, term}:
@@ -225,7 +228,7 @@
 		},
 	})
 	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock}
-	n.broker = &front.Broker{Local: n.scheduler, Chooser: n.chooser, Transport: n.transport, Clock: n.clock, Log: n.log}
+	n.broker = &front.Broker{Local: n.scheduler, LastPause: func() (length, ago time.Duration) { return n.delay.LastPause(n.clock.Now()) }, Chooser: n.chooser, Transport: n.transport, Clock: n.clock, Log: n.log}
 }
 
 // countOrder counts the result of an order.
@@ -355,6 +358,7 @@
 	}
 	go func() { n.mesh.Register(ctx, n.store) }()
 	go func() { n.duties.run(ctx) }()
+	go func() { n.observeDelay(ctx) }()
 	go func() {
 		for pause.For(ctx, sweepInterval) {
 			instances.Expire()
--- a/internal/node/slowholder_test.go
+++ b/internal/node/slowholder_test.go
@@ -77,7 +77,7 @@
 	}, 10*time.Second)
 	slow := holder()
 	for range 5 {
-		slow.duties.delay.Observe(100*time.Millisecond, time.Now())
+		slow.delay.Observe(100*time.Millisecond, time.Now())
 	}
 	slow.mesh.SetSlow(true)
 	await("another VM holds the lease", func() bool { n := holder(); return n != nil && n != slow }, time.Second)
