duty, front: leases of holders that do not answer are taken over, and these are asked less

Change: the next in rank of a domain probes the holder; after three probes without an answer, or if the holder says that it is slow, it acquires the lease, where engines check terms. A VM asks a holder that did not answer once per pause, which grows to 2.4 s; a call for which no holder may be asked is refused at once and told to come back in a second. A VM that is slow again soon after it was, counts as slow for longer, and gets no lease back for 15 s.

--- a/internal/delay/meter.go
+++ b/internal/delay/meter.go
@@ -24,8 +24,12 @@
 	window, maxLate = 5, 2
 	// MinPause is the least delay of a timer that counts as a pause of the process.
 	MinPause = time.Second
-	// recoveryTime is how long no timer may be late until the VM counts as fast again.
-	recoveryTime = 3 * time.Second
+	// recoveryTime is how long no timer may be late until the VM counts as fast again. It
+	// doubles up to maxRecoveryTime if the VM is slow again within relapseTime: without
+	// duties a slowed VM is on time.
+	recoveryTime    = 3 * time.Second
+	maxRecoveryTime = 24 * time.Second
+	relapseTime     = 30 * time.Second
 )
 
 // A Meter records how late timers fire. It is safe for concurrent use.
@@ -34,7 +38,10 @@
 	delays   []time.Duration // of the last timers
 	lastLate time.Time
 	slow     bool
-	last     time.Time // of the last timer
+	// recovery is how long no timer may be late, and recoveredAt when the VM was last slow.
+	recovery    time.Duration
+	recoveredAt time.Time
+	last        time.Time // of the last timer
 	// pauses counts the pauses of the process, confirmed those after which its leases were
 	// checked. lastPause is the length of the last, which ended at lastPauseEnd.
 	pauses, confirmed int
@@ -57,10 +64,15 @@
 	sorted := slices.Sorted(slices.Values(m.delays))
 	before := m.slow
 	switch {
-	case len(sorted) == window && sorted[window-1-maxLate] >= lateTimer:
+	case !m.slow && len(sorted) == window && sorted[window-1-maxLate] >= lateTimer:
 		m.slow = true
-	case now.Sub(m.lastLate) >= recoveryTime:
-		m.slow = false
+		if !m.recoveredAt.IsZero() && now.Sub(m.recoveredAt) < relapseTime {
+			m.recovery = min(2*m.recovery, maxRecoveryTime)
+		} else {
+			m.recovery = recoveryTime
+		}
+	case m.slow && now.Sub(m.lastLate) >= m.recovery:
+		m.slow, m.recoveredAt = false, now
 	}
 	return m.slow != before
 }
--- a/internal/delay/meter_test.go
+++ b/internal/delay/meter_test.go
@@ -33,6 +33,7 @@
 		{"every other timer late", join(repeat(90*ms, 1), repeat(2*ms, 1), repeat(90*ms, 1), repeat(2*ms, 1), repeat(90*ms, 1)), true},
 		{"fast again, but not for long enough", join(repeat(90*ms, 5), repeat(2*ms, 10)), true},
 		{"fast again", join(repeat(90*ms, 5), repeat(2*ms, 21)), false},
+		{"slow whenever it holds a duty", join(repeat(90*ms, 5), repeat(2*ms, 21), repeat(90*ms, 5), repeat(2*ms, 25)), true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m, now := new(delay.Meter), time.Unix(0, 0)
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -33,6 +33,9 @@
 	takeoverDelay = 700 * time.Millisecond
 	// rankDelay is the additional delay per rank, so that candidates act in order.
 	rankDelay = 400 * time.Millisecond
+	// unfitDelay is how long a holder must be unfit before another VM acquires its lease:
+	// one that knows it may hand the lease over itself.
+	unfitDelay = 300 * time.Millisecond
 	// pollInterval is the time between reads of a lease that another VM holds, and
 	// before a failed renewal is retried.
 	pollInterval = 500 * time.Millisecond
@@ -53,8 +56,9 @@
 
 // DomainView is what a VM knows about a domain when it calls Step.
 type DomainView struct {
-	// Claimed is set when a live VM claims the lease.
-	Claimed bool
+	// Claimed is set when a live VM claims the lease, and Unfit if that VM is too slow to
+	// use it or does not answer.
+	Claimed, Unfit bool
 	// LeaseVersion is the version of the claiming VM's last renewal.
 	LeaseVersion plank.ObjectVersion
 	// Relinquished is set when the VM that claimed the lease last is alive and no
@@ -97,6 +101,7 @@
 	seenVersion    plank.ObjectVersion
 	seenAt         time.Time
 	unclaimedSince time.Time // start of the period in which no VM claims the lease
+	unfitSince     time.Time // start of the period in which the holder is unfit
 	nextReadAt     time.Time
 	fencedTerm     plank.Term // term that an engine refused because it has seen a higher one; not used again
 }
@@ -158,6 +163,7 @@
 	if view.Claimed {
 		l.unclaimedSince = time.Time{}
 		l.observe(view.LeaseVersion, now)
+		l.takeFromUnfit(ctx, view, now)
 		return
 	}
 	if l.unclaimedSince.IsZero() {
@@ -179,6 +185,41 @@
 	l.tryAcquire(ctx, now, view.Boots, first)
 }
 
+// takeFromUnfit acquires the lease from a live holder that does not make use of it, if this
+// VM is the first candidate. The holder need not take part: a VM that is too slow to answer
+// is too slow to hand over. Engines refuse its orders from then on, so it happens only
+// where they check terms.
+func (l *Lease) takeFromUnfit(ctx context.Context, view DomainView, now time.Time) {
+	if !view.Unfit || !l.fenced || len(view.Candidates) == 0 || view.Candidates[0] != l.self {
+		l.unfitSince = time.Time{}
+		return
+	}
+	if l.unfitSince.IsZero() {
+		l.unfitSince = now
+	}
+	if now.Sub(l.unfitSince) < unfitDelay || now.Before(l.nextReadAt) {
+		return
+	}
+	l.nextReadAt = now.Add(pollInterval)
+	o, err := l.store.Get(ctx, l.key())
+	if err != nil {
+		l.log.WithError(err).Warn("duty: lease not read")
+		return
+	}
+	var rec Record
+	if err := json.Unmarshal(o.Value, &rec); err != nil {
+		l.log.WithError(err).Error("duty: invalid lease record, waiting for its expiry")
+		return
+	}
+	next := Record{Holder: l.self, Boot: l.boot, Count: rec.Count + 1}
+	version, err := l.put(ctx, next, o.Version)
+	if err != nil {
+		l.log.WithError(err).Info("duty: lease not acquired")
+		return
+	}
+	l.acquired(version, next, now, "taken from "+string(rec.Holder)+", which is unfit")
+}
+
 // observe records the version of another holder's lease.
 func (l *Lease) observe(v plank.ObjectVersion, now time.Time) {
 	if v != l.seenVersion {
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -243,3 +243,37 @@
 	}
 	return s.Store.Put(ctx, key, value, want)
 }
+
+// Two holders that were slowed to a fifth of their processor renewed their leases for 8 s,
+// and could not hand them over, since the store's answers came too late for them.
+func TestLeaseIsTakenFromAnUnfitHolder(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		fenced bool
+		change func(*duty.DomainView)
+		want   bool // whether b holds the lease
+	}{
+		{"by the first candidate", true, func(*duty.DomainView) {}, true},
+		{"not by the second", true, func(v *duty.DomainView) { v.Candidates = []plank.VMID{"c", "b"} }, false},
+		{"not from a fit one", true, func(v *duty.DomainView) { v.Unfit = false }, false},
+		{"not if engines do not check terms", false, func(*duty.DomainView) {}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, store := &clock{now: time.Unix(1000, 0)}, memory.New()
+			a, b := newVM(c, store, "a", "1", test.fenced), newVM(c, store, "b", "1", test.fenced)
+			run(c, 3*time.Second, a)
+			before := a.Term()
+			for range 10 {
+				v := duty.DomainView{Claimed: true, Unfit: true, LeaseVersion: a.Version(), Candidates: []plank.VMID{"b", "c"}, Boots: map[plank.VMID]plank.BootID{"a": "1"}}
+				test.change(&v)
+				b.Step(context.Background(), v)
+				a.Step(context.Background(), duty.DomainView{}) // renews
+				c.now = c.now.Add(100 * time.Millisecond)
+			}
+			assert.Equal(t, b.Term() > 0, test.want)
+			if test.want {
+				assert.Assert(t, b.Term() > before, "terms do not increase")
+			}
+		})
+	}
+}
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -13,10 +13,6 @@
 	"knapweedplank.org/plank/internal/wire"
 )
 
-// unresponsiveTime is how long a holder that did not answer is tried last. The
-// mesh reports a VM that is cut off as silent shortly after this time.
-const unresponsiveTime = 600 * time.Millisecond
-
 // A Chooser selects engines by the state that this VM has of them. It is safe for
 // concurrent use.
 type Chooser struct {
@@ -26,28 +22,37 @@
 	Health *health.Table
 	Clock  plank.Clock
 
-	mu sync.Mutex
-	// unresponsiveUntil holds the time, by holder address, until which the
-	// holder is tried last.
-	unresponsiveUntil map[string]time.Time
+	mu      sync.Mutex
+	holders holderTable
 }
 
 // MarkUnresponsive records that the holder at addr did not answer.
 func (c *Chooser) MarkUnresponsive(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unresponsiveUntil == nil {
-		c.unresponsiveUntil = make(map[string]time.Time)
-	}
-	c.unresponsiveUntil[addr] = c.Clock.Now().Add(unresponsiveTime)
+	c.holders.recordMiss(addr, c.Clock.Now())
+}
+
+// MarkResponsive records that the holder at addr answered.
+func (c *Chooser) MarkResponsive(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holders.recordAnswer(addr)
 }
 
-// IsUnresponsive reports whether the holder at addr failed to answer within the
-// last unresponsiveTime.
+// IsUnresponsive reports whether the holder at addr failed to answer so recently that it is
+// not to be asked.
 func (c *Chooser) IsUnresponsive(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.unresponsiveUntil[addr].After(c.Clock.Now())
+	return c.holders.isSilent(addr, c.Clock.Now())
+}
+
+// MayAsk reports whether a request may be sent to the holder at addr now.
+func (c *Chooser) MayAsk(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holders.mayAsk(addr, c.Clock.Now())
 }
 
 // A Choice is the engine selected for a call.
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -37,6 +37,9 @@
 	minServeTime = 100 * time.Millisecond
 	// noCapacityRetry is the Retry-After time if no engine has capacity.
 	noCapacityRetry = 400 * time.Millisecond
+	// noHolderRetry is the Retry-After time if no lease holder answers: another VM acquires
+	// the lease of a holder that is slow or silent within about a second.
+	noHolderRetry = time.Second
 	// defaultOutputFraction is the fraction of its maximum output tokens that a
 	// call without an estimate is expected to generate.
 	defaultOutputFraction = 0.5
@@ -192,6 +195,9 @@
 func (s *Server) reserveAny(ctx context.Context, j *job, call pick.Call, r grant.Request) (plank.Instance, Reservation, *plank.RefusalError) {
 	now := s.deps.Clock.Now()
 	for _, holder := range s.holders(now) {
+		if !s.deps.Chooser.MayAsk(holder) {
+			continue
+		}
 		inst, res, err := s.deps.Reserver.ReserveAny(ctx, holder, AnyRequest{Request: r, Service: j.service})
 		log := j.log.WithFields(logrus.Fields{
 			"endpoint": inst.ID, "adapter": call.Adapter.String(), "holder": holder, "waited_ms": s.deps.Clock.Now().Sub(now).Milliseconds(),
@@ -207,11 +213,11 @@
 		}
 		log.WithError(err).Warn("front: a holder does not answer")
 	}
-	return plank.Instance{}, nil, noCapacity("no holder answers", noCapacityRetry)
+	return plank.Instance{}, nil, noCapacity("no holder answers", noHolderRetry)
 }
 
 // holders returns the addresses of the live VMs that hold dispatch leases. The
-// holder of this VM's domain comes first, unresponsive holders come last.
+// holder of this VM's domain comes first.
 func (s *Server) holders(now time.Time) []string {
 	var ownDomain, otherDomains []string
 	s.deps.Mesh.Each(func(p *mesh.Peer) {
@@ -225,17 +231,7 @@
 		}
 	})
 	slices.Sort(otherDomains) // for the same order in each call
-	holders := append(ownDomain, otherDomains...)
-	slices.SortStableFunc(holders, func(a, b string) int {
-		switch unresponsiveA, unresponsiveB := s.deps.Chooser.IsUnresponsive(a), s.deps.Chooser.IsUnresponsive(b); {
-		case unresponsiveA == unresponsiveB:
-			return 0
-		case unresponsiveA:
-			return 1
-		}
-		return -1
-	})
-	return holders
+	return append(ownDomain, otherDomains...)
 }
 
 // excluded returns the engines that were tried, are avoided or fail too many
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -187,7 +187,7 @@
 		b.Chooser.MarkUnresponsive(addr)
 		return nil, nil, err
 	}
-	reply, err := receiveReply(s, time.Duration(req.WaitMicros)*time.Microsecond)
+	reply, err := receiveReply(s, time.Duration(req.WaitMicros)*time.Microsecond, func() { b.Chooser.MarkResponsive(addr) })
 	if err == nil && reply.Granted {
 		return reply, &remoteReservation{stream: s, cancel: cancel, version: plank.VersionNumber(reply.Version), log: b.Log}, nil
 	}
@@ -207,14 +207,18 @@
 }
 
 // receiveReply returns the final reply to a reservation request, which the holder
-// sends within wait.
-func receiveReply(s *peer.Stream, wait time.Duration) (*wire.ReserveReply, error) {
+// sends within wait. It calls onReply at the first reply.
+func receiveReply(s *peer.Stream, wait time.Duration, onReply func()) (*wire.ReserveReply, error) {
 	until := time.Now().Add(wait + replyMargin)
 	reply := new(wire.ReserveReply)
 	if err := s.SetDeadline(time.Now().Add(ackTimeout)); err != nil {
 		return nil, err
 	}
-	if err := s.Receive(reply); err != nil || !reply.Queued {
+	err := s.Receive(reply)
+	if err == nil {
+		onReply()
+	}
+	if err != nil || !reply.Queued {
 		return reply, err
 	}
 	if err := s.SetDeadline(until); err != nil {
@@ -224,6 +228,18 @@
 	return reply, s.Receive(reply)
 }
 
+// Probe reports whether the holder at addr answers requests.
+func (b *Broker) Probe(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	s, err := b.Transport.Open(ctx, addr, &wire.Call{Body: &wire.Call_Reserve{Reserve: &wire.ReserveRequest{}}})
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	return s.SetDeadline(time.Now().Add(ackTimeout)) == nil && s.Receive(new(wire.ReserveReply)) == nil
+}
+
 // A remoteReservation is a reservation held at a peer until its stream is closed.
 type remoteReservation struct {
 	stream  *peer.Stream
--- a/internal/front/reserve_test.go
+++ b/internal/front/reserve_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,58 @@
 	assert.Assert(t, !c.IsUnresponsive("10.0.0.1:1"))
 }
 
+// Holders that were slowed to a fifth of their processor got 600 to 1,000 requests a second
+// that nobody waited for any more, and answered none. A replay of 67 VMs with 5 calls a
+// second each, which wait 250 ms for an answer: the holder gets a few tens a second, and all
+// again once it answers.
+func TestSilentHolderIsFloodedWithRequests(t *testing.T) {
+	const vms, callsPerSecond = 67, 5
+	clock := &manualClock{now: time.Unix(1_800_000_000, 0)}
+	choosers := make([]*front.Chooser, vms)
+	for i := range choosers {
+		choosers[i] = &front.Chooser{Clock: clock}
+	}
+	const holder = "10.0.0.1:1"
+	type ask struct {
+		from *front.Chooser
+		at   time.Time
+	}
+	var pending []ask
+	play := func(d time.Duration, answers bool) (asked, calls int) {
+		for end := clock.now.Add(d); clock.now.Before(end); clock.now = clock.now.Add(10 * time.Millisecond) {
+			pending = slices.DeleteFunc(pending, func(a ask) bool {
+				switch {
+				case answers:
+					a.from.MarkResponsive(holder)
+				case clock.now.Sub(a.at) >= 250*time.Millisecond:
+					a.from.MarkUnresponsive(holder)
+				default:
+					return false
+				}
+				return true
+			})
+			for i, c := range choosers {
+				if (int(clock.now.UnixMilli())/10+i)%(100/callsPerSecond) != 0 {
+					continue
+				}
+				calls++
+				if c.MayAsk(holder) {
+					asked++
+					pending = append(pending, ask{c, clock.now})
+				}
+			}
+		}
+		return asked, calls
+	}
+	play(3*time.Second, false)
+	asked, calls := play(5*time.Second, false)
+	t.Logf("%d of %d calls asked the silent holder in 5 s", asked, calls)
+	assert.Assert(t, asked <= 5*vms/2, "%d of %d calls", asked, calls)
+	play(3*time.Second, true)
+	asked, calls = play(2*time.Second, true)
+	assert.Equal(t, asked, calls)
+}
+
 // A manualClock returns a time set by the test.
 type manualClock struct{ now time.Time }
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -36,6 +36,10 @@
 	lastClaimer map[plank.DomainID]plank.VMID // the peer that last claimed the duty
 	// nextHandover is the earliest time of the next handover, set at each one.
 	nextHandover time.Time
+	prober       holderProber
+	// unfitUntil holds the VMs whose leases this VM has acquired because they were unfit,
+	// and until when it does not hand over to them.
+	unfitUntil map[plank.VMID]time.Time
 	// draining is set when the leases are to be released.
 	draining atomic.Bool
 }
@@ -72,7 +76,11 @@
 		} else {
 			view := l.domainView(d, now)
 			view.Paused = n.delay.IsUnconfirmed(now)
+			held := lease.Term() > 0
 			lease.Step(ctx, view)
+			if !held && lease.Term() > 0 && view.Unfit {
+				l.avoid(l.lastClaimer[d], now)
+			}
 			l.handOver(ctx, d, lease, view, now)
 		}
 	}
@@ -83,6 +91,7 @@
 		}
 	}
 	n.state.setDuties(duties)
+	l.probeHolder(ctx, now)
 	l.sync(v.Instances)
 	n.updateReachableFraction()
 }
@@ -139,6 +148,7 @@
 		}
 		if claim, ok := p.Leases[d]; ok {
 			view.Claimed = true
+			view.Unfit = view.Unfit || p.Slow || d == n.settings.Domain && l.prober.isSilent(p.Address)
 			l.lastClaimer[d] = p.VM
 			view.LeaseVersion = max(view.LeaseVersion, claim.Version)
 		}
@@ -159,6 +169,9 @@
 		l.lastAlive[d] = now
 	}
 	switch {
+	case view.Claimed && view.Unfit:
+		fit := slices.DeleteFunc(inDomain, func(vm plank.VMID) bool { return vm == l.lastClaimer[d] || capacity[vm] == 0 })
+		view.Candidates = byCapacity(d, fit, capacity)
 	case view.Claimed && !l.draining.Load():
 		// There are no candidates while the duty is claimed.
 	case len(inDomain) > 0:
@@ -184,6 +197,17 @@
 	return vms
 }
 
+// unfitTime is how long a VM that was unfit to hold a lease gets none back.
+const unfitTime = 15 * time.Second
+
+// avoid records a VM that was unfit to hold a lease.
+func (l *dutyLoop) avoid(vm plank.VMID, now time.Time) {
+	if l.unfitUntil == nil {
+		l.unfitUntil = make(map[plank.VMID]time.Time)
+	}
+	l.unfitUntil[vm] = now.Add(unfitTime)
+}
+
 // sync passes to the scheduler the engines whose lease this VM holds.
 func (l *dutyLoop) sync(instances map[plank.EndpointID]plank.Instance) {
 	v := l.n.view.Load()
@@ -224,7 +248,7 @@
 	known := map[plank.VMID]candidate{l.n.settings.VM: {vm: l.n.settings.VM, capacity: capacity(l.n.settings), settled: true, slow: l.n.delay.IsSlow()}}
 	inDomain := l.n.settings.Domain == d
 	l.n.mesh.Each(func(p *mesh.Peer) {
-		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled, slow: p.Slow}
+		known[p.VM] = candidate{vm: p.VM, capacity: p.Capacity, settled: p.Settled, slow: p.Slow || now.Before(l.unfitUntil[p.VM])}
 		inDomain = inDomain || p.Domain == d && slices.Contains(view.Candidates, p.VM)
 	})
 	var candidates []candidate
