--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -127,6 +127,8 @@
 	n := l.n
 	view := duty.DomainView{Boots: make(map[plank.VMID]plank.BootID)}
 	draining := false // whether a VM of the domain is
+	var newest plank.Term
+	var holder plank.VMID // by the newest claim
 	inDomain, others := []plank.VMID{}, []plank.VMID{}
 	capacity := map[plank.VMID]float64{n.settings.VM: capacity(n.settings)}
 	if l.n.delay.IsSlow() {
@@ -148,8 +150,12 @@
 		}
 		if claim, ok := p.Leases[d]; ok {
 			view.Claimed = true
-			view.Unfit = view.Unfit || p.Slow || d == n.settings.Domain && l.prober.isSilent(p.Address)
-			l.lastClaimer[d] = p.VM
+			// A VM that has lost the lease may not know it yet.
+			if claim.Term >= newest {
+				newest = claim.Term
+				view.Unfit = p.Slow || d == n.settings.Domain && l.prober.isSilent(p.Address)
+				holder = p.VM
+			}
 			view.LeaseVersion = max(view.LeaseVersion, claim.Version)
 		}
 		if l.lastClaimer[d] == p.VM && !view.Claimed {
@@ -165,12 +171,15 @@
 			others = append(others, p.VM)
 		}
 	})
+	if view.Claimed {
+		l.lastClaimer[d] = holder
+	}
 	if len(inDomain) > 0 {
 		l.lastAlive[d] = now
 	}
 	switch {
 	case view.Claimed && view.Unfit:
-		fit := slices.DeleteFunc(inDomain, func(vm plank.VMID) bool { return vm == l.lastClaimer[d] || capacity[vm] == 0 })
+		fit := slices.DeleteFunc(inDomain, func(vm plank.VMID) bool { return vm == holder || capacity[vm] == 0 })
 		view.Candidates = byCapacity(d, fit, capacity)
 	case view.Claimed && !l.draining.Load():
 		// There are no candidates while the duty is claimed.
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -86,13 +86,15 @@
 // candidate to succeed it, and "" otherwise.
 func (l *dutyLoop) successorOf(d plank.DomainID, now time.Time) string {
 	addr := ""
+	var newest plank.Term
 	capacity := map[plank.VMID]float64{l.n.settings.VM: capacity(l.n.settings)}
 	candidates := []plank.VMID{l.n.settings.VM}
 	l.n.mesh.Each(func(p *mesh.Peer) {
-		switch _, holds := p.Leases[d]; {
+		switch claim, holds := p.Leases[d]; {
 		case !p.IsAlive(now) || p.Domain != d:
+		case holds && claim.Term >= newest:
+			newest, addr = claim.Term, p.Address
 		case holds:
-			addr = p.Address
 		case !p.Leaving && !p.Slow:
 			capacity[p.VM] = p.Capacity
 			candidates = append(candidates, p.VM)
