mesh: fewer records that say only that a VM is alive, VMs found by address

Cause (profile of 195 control planes in one process): 17% of the processor time to compose messages and 19% to receive them, most of them records of VMs of the own domain that say only that the VM is alive, every 220 ms; 4% to find a receiver by its address; 5% to compute the reachable part of the fleet.

Change: such records every 400 ms within a domain as between domains, an index by address, and the reachable part every 300 ms. The tests' bounds for noticing a dead VM hold unchanged.

--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		if p := m.peer(vm, now); p.LastReceived.IsZero() {
-			p.identify(rec.Boot, rec.Domain, rec.Address, rec.Capacity)
+			m.identify(p, rec.Boot, rec.Domain, rec.Address, rec.Capacity)
 		}
 		m.learn(rec.Address, now)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -144,6 +144,8 @@
 
 	mu    sync.Mutex
 	peers map[plank.VMID]*Peer
+	// byAddress holds the peers by the addresses that they had at some time.
+	byAddress map[string]*Peer
 	// changes is the number of the last change of a peer's state.
 	changes uint64
 	// addresses lists the addresses of all VMs that sent a message, in the order of their
@@ -178,7 +180,7 @@
 	m := &Mesh{
 		startedAt: clock.Now(),
 		self:      self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout, relayFleet: relayFleet,
-		peers: make(map[plank.VMID]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
+		peers: make(map[plank.VMID]*Peer), byAddress: make(map[string]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
 		engines: make(map[plank.EndpointID]Engine), recent: make(map[plank.EndpointID]*recentAdapters),
 	}
 	go func() {
@@ -247,12 +249,8 @@
 func (m *Mesh) isAlive(addr string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if p.Address == addr && p.IsAlive(now) {
-			return true
-		}
-	}
-	return false
+	p := m.byAddress[addr]
+	return p != nil && p.Address == addr && p.IsAlive(now)
 }
 
 // lastReceived returns when the last message from the VM at addr arrived; the zero
@@ -260,13 +258,10 @@
 func (m *Mesh) lastReceived(addr string) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var last time.Time
-	for _, p := range m.peers {
-		if p.Address == addr && p.LastReceived.After(last) {
-			last = p.LastReceived
-		}
+	if p := m.byAddress[addr]; p != nil && p.Address == addr {
+		return p.LastReceived
 	}
-	return last
+	return time.Time{}
 }
 
 // Serve receives the messages of one stream until it fails or stays silent.
@@ -302,7 +297,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peer(vm, now)
-	p.identify(plank.BootID(g.Boot), plank.DomainID(g.Domain), g.Address, g.Capacity)
+	m.identify(p, plank.BootID(g.Boot), plank.DomainID(g.Domain), g.Address, g.Capacity)
 	p.direct, p.lastDirect, p.readsRecords, p.seeking, p.usesAsRelay = true, now, g.ReadsRecords, g.Seeking, g.ToRelay
 	p.sendInterval = m.sendInterval(p.Domain == m.self.Domain)
 	if g.Large {
@@ -353,6 +348,12 @@
 	return p
 }
 
+// identify sets what the first message of a stream says of a VM. The lock is held.
+func (m *Mesh) identify(p *Peer, boot plank.BootID, domain plank.DomainID, addr string, capacity float64) {
+	p.identify(boot, domain, addr, capacity)
+	m.byAddress[addr] = p
+}
+
 // markReceived records when a VM's last message arrived, here or at a relay. The lock is
 // held.
 func (m *Mesh) markReceived(p *Peer, received, now time.Time) {
@@ -462,6 +463,7 @@
 		}
 		if silent > forgetTimeout {
 			delete(m.peers, vm)
+			delete(m.byAddress, p.Address)
 			if m.senders[p.Address] == nil {
 				m.addLost(p.Address)
 			}
--- a/internal/mesh/record.go
+++ b/internal/mesh/record.go
@@ -14,9 +14,9 @@
 // is applied, so that records that arrive twice, late or by two relays count once, and
 // the age of a VM that has failed grows on all paths.
 
-// remoteRecordInterval is the interval of the records of VMs of other domains while they
-// say only that the VM is alive.
-const remoteRecordInterval = 400 * time.Millisecond
+// aliveRecordInterval is the interval of the records of a VM while they say only that it is
+// alive.
+const aliveRecordInterval = 400 * time.Millisecond
 
 // The expected intervals of the records of VMs of this and of other domains.
 const (
@@ -56,7 +56,7 @@
 			continue
 		}
 		state := p.stateSince(sent, to.omitCalls)
-		if state == nil && p.Domain != to.domain && now.Sub(sent.sentAt) < remoteRecordInterval {
+		if state == nil && now.Sub(sent.sentAt) < aliveRecordInterval {
 			continue
 		}
 		sent.boot, sent.sequence, sent.change, sent.sentAt = p.Boot, p.sequence, m.changes, now
@@ -151,7 +151,7 @@
 		}
 		return nil
 	}
-	p.identify(boot, plank.DomainID(id.Domain), id.Address, id.Capacity)
+	m.identify(p, boot, plank.DomainID(id.Domain), id.Address, id.Capacity)
 	var out []merged
 	for _, r := range append(named.deferred, r) {
 		if r.Sequence <= p.sequence {
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -298,13 +298,11 @@
 		}
 	}
 	to := receiver{addr: addr, omitEngines: ownEngines*m.size() > maxEngineStates, omitCalls: m.size()+1 >= largeFleet}
-	for _, p := range m.peers {
-		if p.Address == addr {
-			isHolder := len(p.Leases) > 0
-			to.domain, to.readsRecords, to.seeking = p.Domain, p.readsRecords, p.seeking
-			to.isRelay = m.large() && slices.Contains(m.topology.relays, p.VM)
-			to.omitEngines, to.omitCalls = to.omitEngines && !isHolder, to.omitCalls && !isHolder && !to.isRelay && !(m.large() && p.Relaying)
-		}
+	if p := m.byAddress[addr]; p != nil && p.Address == addr {
+		isHolder := len(p.Leases) > 0
+		to.domain, to.readsRecords, to.seeking = p.Domain, p.readsRecords, p.seeking
+		to.isRelay = m.large() && slices.Contains(m.topology.relays, p.VM)
+		to.omitEngines, to.omitCalls = to.omitEngines && !isHolder, to.omitCalls && !isHolder && !to.isRelay && !(m.large() && p.Relaying)
 	}
 	return to
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -21,6 +21,10 @@
 // dutyInterval is the interval at which the leases are checked.
 const dutyInterval = 150 * time.Millisecond
 
+// reachableSteps is the number of steps after which the reachable part of the fleet is
+// computed anew.
+const reachableSteps = 2
+
 // orphanTimeout is how long no VM of a domain has to be alive before a VM of
 // another domain acquires the domain's duty.
 const orphanTimeout = 2 * time.Second
@@ -37,6 +41,7 @@
 	// nextHandover is the earliest time of the next handover, set at each one.
 	nextHandover time.Time
 	prober       holderProber
+	steps        int
 	// unfitUntil holds the VMs whose leases this VM has acquired because they were unfit,
 	// and until when it does not hand over to them.
 	unfitUntil map[plank.VMID]time.Time
@@ -93,7 +98,9 @@
 	n.state.setDuties(duties)
 	l.probeHolder(ctx, now)
 	l.sync(v.Instances)
-	n.updateReachableFraction()
+	if l.steps++; l.steps%reachableSteps == 0 {
+		n.updateReachableFraction()
+	}
 }
 
 // applyFencings drops the leases whose terms engines have refused.
