mesh: news of the store count once their objects are merged

A relay passes on how recent its view of the store is. It could do so between the note of a watcher's answer and the merging of the objects that came with it; read, not seen.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -285,15 +285,31 @@
 	}
 	m.mergeMu.Lock()
 	defer m.mergeMu.Unlock()
-	for _, part := range m.mergePeers(vm, g, table) {
+	received := m.clock.Now()
+	for _, part := range m.mergePeers(vm, g, table, received) {
 		m.local.Merge(part.vm, part.boot, part.state, part.age)
 	}
+	m.recordStoreResponse(vm, g.NewsMicros, received)
 }
 
-// mergePeers applies what a message says of VMs and returns what the local state is to
-// merge. mergeMu is held.
-func (m *Mesh) mergePeers(vm plank.VMID, g *wire.Gossip, table recordTable) []merged {
-	now := m.clock.Now()
+// recordStoreResponse records when the store last answered all of a VM's watches, once the
+// objects that it sent have been merged: a relay passes the time on.
+func (m *Mesh) recordStoreResponse(vm plank.VMID, ageMicros int64, received time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[vm]
+	if p == nil {
+		return
+	}
+	p.LastStoreResponse = time.Time{}
+	if ageMicros >= 0 {
+		p.LastStoreResponse = received.Add(-time.Duration(ageMicros) * time.Microsecond)
+	}
+}
+
+// mergePeers applies what a message that arrived at now says of VMs and returns what the
+// local state is to merge. mergeMu is held.
+func (m *Mesh) mergePeers(vm plank.VMID, g *wire.Gossip, table recordTable, now time.Time) []merged {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peer(vm, now)
@@ -304,10 +320,6 @@
 		m.largeUntil = now.Add(goneTimeout)
 	}
 	m.markReceived(p, now, now)
-	p.LastStoreResponse = time.Time{}
-	if g.NewsMicros >= 0 {
-		p.LastStoreResponse = now.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
-	}
 	if g.Sequence == 0 || g.Sequence > p.sequence {
 		p.sequence = g.Sequence
 		m.changes++
