node: a fleet that starts leaves the store to its relays

Change: VMs that start with their whole fleet call the store after 1.5 s, when they know each other, and wait for their relays' updates until 3 s. Traffic begins after 10 s and more.

--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -24,11 +24,12 @@
 	// smallFleet is the number of VMs below which updates are sent to all failure
 	// domains instead of to the VM's own.
 	smallFleet = 16
-	// startSilence is how long a VM that starts with its whole fleet leaves the store
-	// to others, and startPatience how long it waits for their updates, once it knows
-	// that there are others.
-	startSilence  = 500 * time.Millisecond
-	startPatience = time.Second
+	// startPatience is how long a VM that starts waits for the updates of others, once it
+	// knows that there are any. A VM that starts with its whole fleet calls the store after
+	// fleetStartSilence, when the VMs know each other, and waits for fleetStartPatience.
+	startPatience      = time.Second
+	fleetStartSilence  = 1500 * time.Millisecond
+	fleetStartPatience = 3 * time.Second
 )
 
 // A watchPolicy decides whether this VM calls the store or relies on the updates
@@ -186,14 +187,16 @@
 		}
 	})
 	wp.rank, wp.alive, wp.peerUpdate = rank, alive, newest
-	if wp.bootstrap && now.Sub(wp.startedAt) < startSilence {
-		return false
+	running, patience := now.Sub(wp.startedAt), startPatience
+	if wp.bootstrap {
+		if patience = fleetStartPatience; running < fleetStartSilence {
+			return false
+		}
 	}
-	timing := wp.timing()
-	if alive > 1 && now.Sub(wp.startedAt) < startPatience && newest.IsZero() {
+	if alive > 1 && running < patience && newest.IsZero() {
 		return rank < watchers(alive)
 	}
-	return timing.mustWatch(rank, alive, now.Sub(newest))
+	return wp.timing().mustWatch(rank, alive, now.Sub(newest))
 }
 
 // retry returns the pause after a number of consecutive failed calls to the store.
