front: a stream resumed at an engine that fails ends as broken off

Read beside it: a success with another status than 200 was never written, and the caller got an empty 200.

Change: a whole answer to the continuation of a stream counts as broken off, so that the next engine is tried or the caller sees the end; other answers are forwarded.

TestResumedStreamThatFailsEndsAsComplete and TestOtherSuccessOfAnEngine fail before the change.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -273,6 +274,17 @@
 	return c.Engine.Instance, nil, noCapacity("nobody orders the engine", noCapacityRetry)
 }
 
+// A resumeError reports that an engine answered the continuation of a stream with a whole
+// answer, which cannot follow the events that the caller has received.
+type resumeError struct {
+	status int
+}
+
+// Error implements error.
+func (e *resumeError) Error() string {
+	return "status " + strconv.Itoa(e.status) + " for the continuation of a stream"
+}
+
 // tryModel sends a call to an engine and forwards the stream's events.
 func (s *Server) tryModel(ctx context.Context, j *job, p *progress, inst plank.Instance, res Reservation) (result, callEnd) {
 	defer res.Release()
@@ -303,14 +315,16 @@
 		}
 	}
 	a.result = s.classify(j, &a)
-	if a.result == served && isStream {
+	switch {
+	case a.result == served && isStream:
 		a.result, a.err = s.relay(j, p, a.reply, func() {
 			stallTimer.Stop()
 			res.MarkStarted()
 		})
 		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
-	}
-	if a.result == failed {
+	case (a.result == served || a.result == failed) && p.begun:
+		a.result, a.err = broken, &resumeError{a.reply.Status}
+	case a.result == served || a.result == failed:
 		e = s.answerFromAttempt(ctx, j, a)
 	}
 	if a.result == abandoned {
