--- a/internal/mesh/member.go
+++ b/internal/mesh/member.go
@@ -67,11 +67,12 @@
 func (m *Mesh) mustRegister(found bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	running := m.clock.Now().Sub(m.startedAt)
 	if m.large() {
 		return m.topology.relaying
 	}
-	return running >= max(m.self.Quiet, registerDelay) && (found || running >= seekTimeout)
+	now := m.clock.Now()
+	running := now.Sub(m.startedAt)
+	return !now.Before(m.quietUntil) && running >= registerDelay && (found || running >= seekTimeout)
 }
 
 // register writes this VM's record.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -157,8 +157,9 @@
 	seeds    []string
 	// slow is set while this VM gets too little processor time to act for others.
 	slow bool
-	// startedAt is when this VM started.
-	startedAt time.Time
+	// startedAt is when this VM started. Until quietUntil it sends only to a seed, and to
+	// VMs that send to it.
+	startedAt, quietUntil time.Time
 	// largeUntil is the time until which the fleet counts as large because another VM
 	// said so.
 	largeUntil time.Time
@@ -177,9 +178,10 @@
 
 // New returns a mesh whose loops end with ctx.
 func New(ctx context.Context, self Self, transport Transport, local LocalState, clock plank.Clock, log *logrus.Entry) *Mesh {
+	now := clock.Now()
 	m := &Mesh{
-		startedAt: clock.Now(),
-		self:      self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout, relayFleet: relayFleet,
+		startedAt: now, quietUntil: now.Add(self.Quiet),
+		self: self, transport: transport, local: local, clock: clock, log: log, ctx: ctx, giveUpTimeout: forgetTimeout, relayFleet: relayFleet,
 		peers: make(map[plank.VMID]*Peer), byAddress: make(map[string]*Peer), contacts: make(map[string]bool), lost: make(map[string]time.Time), senders: make(map[string]chan struct{}), targetUntil: make(map[string]time.Time),
 		engines: make(map[plank.EndpointID]Engine), recent: make(map[plank.EndpointID]*recentAdapters),
 	}
@@ -218,7 +220,7 @@
 		return
 	}
 	m.contacts[addr] = true
-	if !m.large() && now.Sub(m.startedAt) >= m.self.Quiet {
+	if !m.large() && !now.Before(m.quietUntil) {
 		m.target(addr, now)
 	}
 }
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -24,7 +24,7 @@
 		targets = m.planTargets(now)
 	} else {
 		m.topology = topology{}
-		if now.Sub(m.startedAt) >= m.self.Quiet {
+		if !now.Before(m.quietUntil) {
 			targets = m.contacts
 		} else if seed := m.seed(now); seed != "" {
 			targets = map[string]bool{seed: true}
