node, mesh: relays pass on first-hand news only, and forward changes at once

Fault (read in the diff): a relay passed on how recent its view of the store was, also as another relay had told it. Each message adds the time that it takes, so that two relays cut off from the store kept their views recent the more, the slower they were, and their domain might not have read the store in time.

Beside it: streams of a VM that was paused, or is too slow to choose its targets, stay open.

--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -180,6 +180,7 @@
 	count  int64
 	change uint64
 	sent   int
+	wake   func() // makes the mesh send the count soon
 	// counts holds the last counts of the others, and back those that went backwards.
 	counts map[plank.VMID]int64
 	boots  map[plank.VMID]plank.BootID // the run that each count is of
@@ -215,9 +216,10 @@
 
 func (c *counter) add(n int64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.count += n
 	c.change++
+	c.mu.Unlock()
+	c.wake()
 }
 
 func (c *counter) sentMessages() int {
@@ -298,6 +300,7 @@
 	}
 	v.ctx, v.stop = context.WithCancel(context.Background())
 	v.legacy = i >= f.legacy
+	v.state.wake = func() { v.Wake() }
 	v.Mesh = mesh.New(v.ctx, v.self, link{network: f.network, from: addr, legacy: v.legacy, ctx: v.ctx}, v.state, plank.SystemClock{}, log.WithField("vm", i))
 	if v.legacy {
 		v.SetRelayFleet(math.MaxInt)
--- a/internal/mesh/fuzz_test.go
+++ b/internal/mesh/fuzz_test.go
@@ -54,7 +54,7 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		state := &counter{counts: make(map[plank.VMID]int64), boots: make(map[plank.VMID]plank.BootID)}
+		state := &counter{counts: make(map[plank.VMID]int64), boots: make(map[plank.VMID]plank.BootID), wake: func() {}}
 		n := &network{vms: make(map[string]*fleetVM)}
 		n.fleet = &fleet{network: n}
 		m := mesh.New(ctx, mesh.Self{VM: "a", Boot: "1", Domain: "d", Address: "d0-0"}, link{network: n, from: "d0-0", ctx: ctx}, state, plank.SystemClock{}, log.WithField("vm", "a"))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -167,6 +167,8 @@
 	// time until which streams to them stay open.
 	topology    topology
 	targetUntil map[string]time.Time
+	// planned is when the targets were last chosen.
+	planned time.Time
 	// lost maps each address that was silent for giveUpTimeout to the time until
 	// which it is probed.
 	lost map[string]time.Time
@@ -239,6 +241,11 @@
 func (m *Mesh) Wake() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.wake()
+}
+
+// wake implements Wake. The lock is held.
+func (m *Mesh) wake() {
 	for _, wake := range m.senders {
 		select {
 		case wake <- struct{}{}:
@@ -291,21 +298,21 @@
 	for _, part := range m.mergePeers(vm, g, table, received) {
 		m.local.Merge(part.vm, part.boot, part.state, part.age)
 	}
-	m.recordStoreResponse(vm, g.NewsMicros, received)
+	m.recordStoreResponse(vm, g, received)
 }
 
 // recordStoreResponse records when the store last answered all of a VM's watches, once the
 // objects that it sent have been merged: a relay passes the time on.
-func (m *Mesh) recordStoreResponse(vm plank.VMID, ageMicros int64, received time.Time) {
+func (m *Mesh) recordStoreResponse(vm plank.VMID, g *wire.Gossip, received time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[vm]
 	if p == nil {
 		return
 	}
-	p.LastStoreResponse = time.Time{}
-	if ageMicros >= 0 {
-		p.LastStoreResponse = received.Add(-time.Duration(ageMicros) * time.Microsecond)
+	p.LastStoreResponse, p.StoreResponseRelayed = time.Time{}, g.NewsRelayed
+	if g.NewsMicros >= 0 {
+		p.LastStoreResponse = received.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
 	}
 }
 
@@ -337,9 +344,14 @@
 		m.mergeEngine(p, e, now)
 	}
 	out := []merged{{vm: vm, boot: p.Boot, state: g}}
+	changed := len(g.Usages) > 0 || p.statusChange == m.changes
 	for _, r := range g.Records {
+		changed = changed || r.State != nil
 		out = append(out, m.mergeRecord(table, r, now)...)
 	}
+	if changed && m.large() && m.topology.relaying {
+		m.wake() // to forward it
+	}
 	if !slices.Contains(m.addresses, g.Address) {
 		m.addresses = append(m.addresses, g.Address)
 	}
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -26,9 +26,11 @@
 	InFlight map[plank.EndpointID]InFlightCalls
 	// Leases holds the VM's dispatch leases by domain.
 	Leases map[plank.DomainID]Lease
-	// LastStoreResponse is when the store last answered all of the VM's own watches;
-	// zero if the VM's last message to this VM gave none.
+	// LastStoreResponse is when the store last answered all of the VM's watches, or those
+	// of a VM that sends to it; zero if the VM's last message to this VM gave none.
 	LastStoreResponse time.Time
+	// StoreResponseRelayed is set if LastStoreResponse is that of another VM's watches.
+	StoreResponseRelayed bool
 	// Capacity has no unit and compares VMs.
 	Capacity float64
 	// ColdLoads is the number of loads from the weight store that the VM has ordered.
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -19,6 +19,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
+	m.planned = now
 	var targets map[string]bool
 	if m.large() {
 		targets = m.planTargets(now)
@@ -122,7 +123,8 @@
 func (m *Mesh) isTarget(addr string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.clock.Now().Before(m.targetUntil[addr]) {
+	// A VM that was paused, or is too slow to choose, keeps its streams.
+	if m.planned.Before(m.targetUntil[addr]) {
 		return true
 	}
 	delete(m.targetUntil, addr)
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -106,6 +106,19 @@
 	return newest
 }
 
+// newestFirstHand returns the time of the last update that this VM, at own, or a peer of its
+// domain received from the store itself. What peers pass on does not count: with the time
+// that messages take it would become newer each time that two relays tell it each other.
+func (wp *watchPolicy) newestFirstHand(own time.Time) time.Time {
+	newest := own
+	wp.mesh.Each(func(p *mesh.Peer) {
+		if p.Domain == wp.domain && !p.StoreResponseRelayed && p.LastStoreResponse.After(newest) {
+			newest = p.LastStoreResponse
+		}
+	})
+	return newest
+}
+
 // sendsObjects reports whether this VM sends objects of the store to others. All VMs
 // watch while nobody sends them updates, as after the start of a fleet; once one of the
 // VMs that are to watch sends them, the others need not.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -91,7 +91,8 @@
 		g.Usages = append(g.Usages, &wire.Usage{Workspace: string(u.Workspace), Tokens: int64(math.Round(float64(u.Total))), Level: int64(u.Level)})
 	}
 	if opts.SameDomain || s.fleetSize() < smallFleet {
-		if age, ok := s.updateAge(opts.Relaying); ok {
+		if age, relayed, ok := s.updateAge(opts.Relaying); ok {
+			g.NewsRelayed = relayed
 			g.Objects, covered.Objects = s.changedObjects(opts.AfterObjects, covered.Change)
 			if covered.Objects == covered.Change {
 				g.NewsMicros = age.Microseconds()
@@ -114,16 +115,18 @@
 	return g, covered
 }
 
-// updateAge returns how old this VM's view of the store is, and whether it is recent
-// enough to be sent to others. The view of a relay is as recent as that of the VMs that
-// send theirs to it, unless it is still fetching an object that they announced.
-func (s *state) updateAge(relaying bool) (time.Duration, bool) {
-	updated := s.watchPolicy.lastResponse()
+// updateAge returns how old this VM's view of the store is, whether it is that of another
+// VM, and whether it is recent enough to be sent to others. The view of a relay is as recent
+// as that of the watching VMs that send theirs to it, unless it is still fetching an object
+// that they announced.
+func (s *state) updateAge(relaying bool) (age time.Duration, relayed, ok bool) {
+	own := s.watchPolicy.lastResponse()
+	updated := own
 	if relaying && !s.fetcher.IsFetching() {
-		updated = s.watchPolicy.lastUpdate()
+		updated = s.watchPolicy.newestFirstHand(own)
 	}
-	age := s.clock.Now().Sub(updated)
-	return age, !updated.IsZero() && age < s.watchPolicy.timing().maxAge && s.watchPolicy.sendsObjects()
+	age = s.clock.Now().Sub(updated)
+	return age, updated.After(own), !updated.IsZero() && age < s.watchPolicy.timing().maxAge && s.watchPolicy.sendsObjects()
 }
 
 // changedEngines returns the engine states that changed after a change. The
