duty: a lease is taken only from the holder that was found unfit

Fault (read in review): the first candidate wrote over whatever record the store held, so that it could take the lease from a VM that had acquired it from the unfit holder and was not heard of yet, and an own record whose answer was lost. The acquisition stood twice besides.

Change: one copy, which compares the record with the VM that was found unfit. A case in TestLeaseIsTakenFromAnUnfitHolder.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -56,9 +56,10 @@
 
 // DomainView is what a VM knows about a domain when it calls Step.
 type DomainView struct {
-	// Claimed is set when a live VM claims the lease, and Unfit if that VM is too slow to
-	// use it or does not answer.
-	Claimed, Unfit bool
+	// Claimed is set when a live VM claims the lease.
+	Claimed bool
+	// UnfitHolder is the claiming VM if it is too slow to use the lease or does not answer.
+	UnfitHolder plank.VMID
 	// LeaseVersion is the version of the claiming VM's last renewal.
 	LeaseVersion plank.ObjectVersion
 	// Relinquished is set when the VM that claimed the lease last is alive and no
@@ -182,7 +183,7 @@
 		return
 	}
 	l.nextReadAt = now.Add(pollInterval)
-	l.tryAcquire(ctx, now, view.Boots, first)
+	l.tryAcquire(ctx, now, view, first)
 }
 
 // takeFromUnfit acquires the lease from a live holder that does not make use of it, if this
@@ -190,7 +191,7 @@
 // is too slow to hand over. Engines refuse its orders from then on, so it happens only
 // where they check terms.
 func (l *Lease) takeFromUnfit(ctx context.Context, view DomainView, now time.Time) {
-	if !view.Unfit || !l.fenced || len(view.Candidates) == 0 || view.Candidates[0] != l.self {
+	if view.UnfitHolder == "" || !l.fenced || len(view.Candidates) == 0 || view.Candidates[0] != l.self {
 		l.unfitSince = time.Time{}
 		return
 	}
@@ -201,23 +202,7 @@
 		return
 	}
 	l.nextReadAt = now.Add(pollInterval)
-	o, err := l.store.Get(ctx, l.key())
-	if err != nil {
-		l.log.WithError(err).Warn("duty: lease not read")
-		return
-	}
-	var rec Record
-	if err := json.Unmarshal(o.Value, &rec); err != nil {
-		l.log.WithError(err).Error("duty: invalid lease record, waiting for its expiry")
-		return
-	}
-	next := Record{Holder: l.self, Boot: l.boot, Count: rec.Count + 1}
-	version, err := l.put(ctx, next, o.Version)
-	if err != nil {
-		l.log.WithError(err).Info("duty: lease not acquired")
-		return
-	}
-	l.acquired(version, next, now, "taken from "+string(rec.Holder)+", which is unfit")
+	l.tryAcquire(ctx, now, view, false)
 }
 
 // observe records the version of another holder's lease.
@@ -231,7 +216,7 @@
 
 // tryAcquire acquires the lease if it is available. The first attempt after a start
 // acquires only a lease that an earlier run of this VM holds.
-func (l *Lease) tryAcquire(ctx context.Context, now time.Time, boots map[plank.VMID]plank.BootID, first bool) {
+func (l *Lease) tryAcquire(ctx context.Context, now time.Time, view DomainView, first bool) {
 	o, err := l.store.Get(ctx, l.key())
 	if err != nil {
 		l.log.WithError(err).Warn("duty: lease not read")
@@ -249,7 +234,7 @@
 		l.acquired(o.Version, rec, now, "read back")
 		return
 	}
-	if first && rec.Holder != l.self || !l.isAvailable(o.Version, rec, boots, now) {
+	if first && rec.Holder != l.self || !l.isAvailable(o.Version, rec, view, now) {
 		return
 	}
 	next := Record{Holder: l.self, Boot: l.boot, Count: rec.Count + 1}
@@ -263,11 +248,13 @@
 
 // isAvailable reports whether this VM may acquire the lease. A holder that has
 // restarted since it acquired the lease gives no orders under it.
-func (l *Lease) isAvailable(version plank.ObjectVersion, rec Record, boots map[plank.VMID]plank.BootID, now time.Time) bool {
-	boot, alive := boots[rec.Holder]
+func (l *Lease) isAvailable(version plank.ObjectVersion, rec Record, view DomainView, now time.Time) bool {
+	boot, alive := view.Boots[rec.Holder]
 	switch {
 	case alive && boot != rec.Boot:
 		return true
+	case l.fenced && view.UnfitHolder != "" && rec.Holder == view.UnfitHolder:
+		return true // but not from a VM that has acquired it since
 	case version == 0, rec.Holder == l.self:
 		return true
 	case rec.Released && (rec.Successor == "" || rec.Successor == l.self):
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -255,7 +255,8 @@
 	}{
 		{"by the first candidate", true, func(*duty.DomainView) {}, true},
 		{"not by the second", true, func(v *duty.DomainView) { v.Candidates = []plank.VMID{"c", "b"} }, false},
-		{"not from a fit one", true, func(v *duty.DomainView) { v.Unfit = false }, false},
+		{"not from a fit one", true, func(v *duty.DomainView) { v.UnfitHolder = "" }, false},
+		{"not from another VM that has acquired it since", true, func(v *duty.DomainView) { v.UnfitHolder = "c" }, false},
 		{"not if engines do not check terms", false, func(*duty.DomainView) {}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -264,7 +265,7 @@
 			run(c, 3*time.Second, a)
 			before := a.Term()
 			for range 10 {
-				v := duty.DomainView{Claimed: true, Unfit: true, LeaseVersion: a.Version(), Candidates: []plank.VMID{"b", "c"}, Boots: map[plank.VMID]plank.BootID{"a": "1"}}
+				v := duty.DomainView{Claimed: true, UnfitHolder: "a", LeaseVersion: a.Version(), Candidates: []plank.VMID{"b", "c"}, Boots: map[plank.VMID]plank.BootID{"a": "1"}}
 				test.change(&v)
 				b.Step(context.Background(), v)
 				a.Step(context.Background(), duty.DomainView{}) // renews
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -83,8 +83,8 @@
 			view.Paused = n.delay.IsUnconfirmed(now)
 			held := lease.Term() > 0
 			lease.Step(ctx, view)
-			if !held && lease.Term() > 0 && view.Unfit {
-				l.avoid(l.lastClaimer[d], now)
+			if !held && lease.Term() > 0 && view.UnfitHolder != "" {
+				l.avoid(view.UnfitHolder, now)
 			}
 			l.handOver(ctx, d, lease, view, now)
 		}
@@ -160,8 +160,11 @@
 			// A VM that has lost the lease may not know it yet.
 			if claim.Term >= newest {
 				newest = claim.Term
-				view.Unfit = p.Slow || d == n.settings.Domain && l.prober.isSilent(p.Address)
 				holder = p.VM
+				view.UnfitHolder = ""
+				if p.Slow || d == n.settings.Domain && l.prober.isSilent(p.Address) {
+					view.UnfitHolder = p.VM
+				}
 			}
 			view.LeaseVersion = max(view.LeaseVersion, claim.Version)
 		}
@@ -185,7 +188,7 @@
 		l.lastAlive[d] = now
 	}
 	switch {
-	case view.Claimed && view.Unfit:
+	case view.Claimed && view.UnfitHolder != "":
 		fit := slices.DeleteFunc(inDomain, func(vm plank.VMID) bool { return vm == holder || capacity[vm] == 0 })
 		view.Candidates = byCapacity(d, fit, capacity)
 	case view.Claimed && !l.draining.Load():
