Runner: adapters in use when an engine restarts keep their slots

Cause: the report that tells of a restart replaced all slots. A request that had begun on the restarted engine before that report (up to a second) was no longer counted, and its adapter could be evicted.

TestNoEvictionInUseAfterRestart fails before.

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -71,7 +71,7 @@
 	case requestedAt.Sub(r.lastOrder) > maxReportAge && r.loading == (plank.Model{}):
 		r.syncSlots(report, requestedAt)
 	}
-	r.boot = report.Boot
+	r.boot, r.reportedAt = report.Boot, requestedAt
 	r.up = true
 	if report.Leaving && !r.leaving {
 		r.leaving = true
@@ -118,14 +118,24 @@
 	}
 }
 
-// handleRestart replaces the slots by the models that a restarted engine reports.
-// The lock is held.
+// handleRestart replaces the slots by the models that a restarted engine reports. It
+// keeps slots in use whose models the restarted engine may have loaded: those that are
+// reported, and those loaded since the last report of the engine as it was before. The
+// lock is held.
 func (r *Runner) handleRestart(report plank.EngineReport) {
 	r.deps.Log.WithFields(logrus.Fields{"endpoint": r.opts.Endpoint, "boot": report.Boot}).Warn("runner: engine restarted")
-	clear(r.slots)
+	now := r.deps.Clock.Now()
+	slots := make(map[plank.Model]*slot)
 	for _, m := range report.Resident {
-		r.slots[m] = &slot{lastUse: r.deps.Clock.Now(), loadedAt: r.deps.Clock.Now()}
+		slots[m] = &slot{lastUse: now, loadedAt: now}
 	}
+	for m, s := range r.slots {
+		if s.inUse > 0 && (slots[m] != nil || s.loadedAt.After(r.reportedAt)) {
+			s.pinned, s.draining = false, false
+			slots[m] = s
+		}
+	}
+	r.slots = slots
 }
 
 // A crashCheck determines whether an engine crashed. Requests whose streams broke
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -106,6 +106,7 @@
 	// its first chunk, or nil.
 	exclusive  *request
 	boot       plank.BootID        // of the last report; empty before the first
+	reportedAt time.Time           // when the last report was requested
 	up         bool                // the engine answers requests for reports
 	leaving    bool                // the endpoint is draining and accepts no new requests
 	closing    bool                // this VM releases the endpoint
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -30,6 +30,13 @@
 	report  plank.EngineReport
 	release map[plank.RequestID]chan struct{}
 	started []plank.RequestID
+	// refuse holds the requests that are refused for a missing adapter, each once its
+	// channel is closed.
+	refuse map[plank.RequestID]chan struct{}
+	// answerLoads, if not nil, delays the answers to loads until it is closed.
+	answerLoads chan struct{}
+	// endDelay is how long a cancelled request remains in use.
+	endDelay time.Duration
 }
 
 func newFakeEngine(t *testing.T, resident ...plank.Model) *fakeEngine {
@@ -44,6 +51,12 @@
 func (e *fakeEngine) Generate(ctx context.Context, job plank.Job, emit func(plank.Chunk) error) (func(), error) {
 	done := make(chan struct{})
 	e.mu.Lock()
+	if refused := e.refuse[job.ID]; refused != nil {
+		e.started = append(e.started, job.ID)
+		e.mu.Unlock()
+		<-refused
+		return nil, plank.Refuse(plank.CodeNoModel, "not resident")
+	}
 	if _, ok := e.inUse[job.Model]; !ok {
 		e.t.Errorf("request %s dispatched while its adapter was not resident", job.ID)
 	}
@@ -54,22 +67,45 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		time.AfterFunc(e.endDelay, func() { e.end(job.Model) })
+		return nil, ctx.Err()
 	}
-	e.mu.Lock()
-	e.inUse[job.Model]--
-	e.mu.Unlock()
+	e.end(job.Model)
 	return nil, emit(plank.Chunk{})
 }
 
+// end ends a request of m.
+func (e *fakeEngine) end(m plank.Model) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.inUse[m] > 0 {
+		e.inUse[m]--
+	}
+}
+
 // Load implements plank.Engine.
 func (e *fakeEngine) Load(_ context.Context, m plank.Model, _ plank.Term) error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.orders++
-	e.inUse[m] = 0
+	if _, ok := e.inUse[m]; !ok {
+		e.inUse[m] = 0
+	}
+	answer := e.answerLoads
+	e.mu.Unlock()
+	if answer != nil {
+		<-answer
+	}
 	return nil
 }
 
+// restart empties the engine, as a crash does.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report.Boot += "+"
+	clear(e.inUse)
+}
+
 // Unload implements plank.Engine.
 func (e *fakeEngine) Unload(_ context.Context, m plank.Model, _ plank.Term) error {
 	e.mu.Lock()
@@ -219,6 +255,24 @@
 	assert.NilError(t, <-two)
 }
 
+// reportTime is enough for the runner to get a new report of the engine.
+const reportTime = 1500 * time.Millisecond
+
+// TestNoEvictionInUseAfterRestart lets requests begin on a restarted engine before
+// the runner gets the report that tells of the restart. Their adapters stay in use.
+func TestNoEvictionInUseAfterRestart(t *testing.T) {
+	e := newFakeEngine(t)
+	r := newRunner(t, e, queue.NewFair(), time.Now().Add(farFuture), time.Time{})
+	e.restart()
+	submit(r, "one", model(1), false)
+	submit(r, "two", model(2), false)
+	waitFor(t, "running", func() bool { _, n := e.counts(); return n == 2 })
+	submit(r, "three", model(3), false)
+	time.Sleep(reportTime)
+	orders, _ := e.counts()
+	assert.Equal(t, orders, 2)
+}
+
 // TestPendingLoadDelaysNoOthers checks that with the fair queue a request whose
 // adapter is resident overtakes one that waits for a load. With the FIFO baseline
 // it does not.
