Runner: the late answer to a load does not replace a slot in use

Cause: the report of a restarted engine may list an adapter before its load is answered. Requests began on it; the answer then replaced the slot by an unused one.

TestNoEvictionInUseAfterLateLoadAnswer fails before.

--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -222,7 +222,9 @@
 	r.loading = plank.Model{}
 	r.lastOrder = now
 	if ok {
-		r.slots[m] = &slot{lastUse: now, loadedAt: now}
+		if r.slots[m] == nil { // a report may have listed it before the load was answered
+			r.slots[m] = &slot{lastUse: now, loadedAt: now}
+		}
 		delete(r.loadFailures, m)
 		for _, req := range r.waiting {
 			if req.job.Model == m && req.residentAt.IsZero() {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -273,6 +273,24 @@
 	assert.Equal(t, orders, 2)
 }
 
+// TestNoEvictionInUseAfterLateLoadAnswer lets a request begin on an adapter that the
+// report of a restarted engine lists while the answer to the load is still awaited.
+func TestNoEvictionInUseAfterLateLoadAnswer(t *testing.T) {
+	e := newFakeEngine(t)
+	r := newRunner(t, e, queue.NewFair(), time.Now().Add(farFuture), time.Time{})
+	e.restart()
+	e.answerLoads = make(chan struct{})
+	submit(r, "one", model(1), false)
+	waitFor(t, "running", func() bool { _, n := e.counts(); return n == 1 })
+	close(e.answerLoads)
+	submit(r, "two", model(2), false)
+	waitFor(t, "both running", func() bool { _, n := e.counts(); return n == 2 })
+	submit(r, "three", model(3), false)
+	time.Sleep(settleTime)
+	orders, _ := e.counts()
+	assert.Equal(t, orders, 2)
+}
+
 // TestPendingLoadDelaysNoOthers checks that with the fair queue a request whose
 // adapter is resident overtakes one that waits for a load. With the FIFO baseline
 // it does not.
