Runner: a late refusal drops only the slot that its request used

Cause: of two requests refused for a lost adapter the second dropped the slot of the adapter as loaded again, with requests on it.

TestNoEvictionInUseAfterLateRefusal fails before.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -264,11 +264,14 @@
 	}
 }
 
-// dropSlot removes the slot of a model that the engine reports as not resident,
-// and requests a report at once, since the engine may have lost others as well.
-func (r *Runner) dropSlot(m plank.Model) {
+// dropSlot removes the slot of a request whose model the engine reports as not
+// resident, and requests a report at once, since the engine may have lost others as
+// well. A slot of the same model that was loaded meanwhile is kept.
+func (r *Runner) dropSlot(req *request) {
 	r.mu.Lock()
-	delete(r.slots, m)
+	if r.slots[req.job.Model] == req.slot {
+		delete(r.slots, req.job.Model)
+	}
 	r.mu.Unlock()
 	select {
 	case r.reportNow <- struct{}{}:
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -291,6 +291,35 @@
 	assert.Equal(t, orders, 2)
 }
 
+// TestNoEvictionInUseAfterLateRefusal refuses two requests for a lost adapter, the
+// second after the adapter was loaded again and another request uses it.
+func TestNoEvictionInUseAfterLateRefusal(t *testing.T) {
+	e := newFakeEngine(t, model(1), model(2))
+	early, late := make(chan struct{}), make(chan struct{})
+	e.refuse = map[plank.RequestID]chan struct{}{"early": early, "late": late}
+	r := newRunner(t, e, queue.NewFair(), time.Now().Add(farFuture), time.Time{})
+	submit(r, "other", model(2), false)
+	submit(r, "early", model(1), false)
+	lateResult := submit(r, "late", model(1), false)
+	waitFor(t, "running", func() bool { _, n := e.counts(); return n == 3 })
+	e.mu.Lock()
+	delete(e.inUse, model(1))
+	e.mu.Unlock()
+	close(early)
+	waitFor(t, "refused", func() bool { return r.Status().Outstanding == 2 })
+	submit(r, "one", model(1), false)
+	waitFor(t, "loaded again", func() bool { _, n := e.counts(); return n == 4 })
+	close(late)
+	assert.ErrorContains(t, <-lateResult, "not resident")
+	submit(r, "more", model(1), false)
+	waitFor(t, "next running", func() bool { _, n := e.counts(); return n == 5 })
+	e.finish("more")
+	submit(r, "three", model(3), false)
+	time.Sleep(settleTime)
+	orders, _ := e.counts()
+	assert.Equal(t, orders, 1)
+}
+
 // TestPendingLoadDelaysNoOthers checks that with the fair queue a request whose
 // adapter is resident overtakes one that waits for a load. With the FIFO baseline
 // it does not.
--- a/internal/runner/submit.go
+++ b/internal/runner/submit.go
@@ -58,7 +58,7 @@
 	}
 	var refused *plank.RefusalError
 	if errors.As(err, &refused) && refused.Code == plank.CodeNoModel {
-		r.dropSlot(req.job.Model)
+		r.dropSlot(req)
 	}
 	if err == nil && wait != nil {
 		// The answer is complete, but the adapter is in use until wait returns.
