Runner: the adapter of a request that was given up stays for a second

Cause: a request whose caller left, whose deadline passed or whose answer was wrong counted as ended at once. The engine ends it only when it notices the closed connection, and an eviction could come before. TestAnswersAreCompleteAndCorrect has answers of wrong adapters, which end this way.

TestNoEvictionInUseAfterCancel fails before.

--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -104,7 +104,7 @@
 	var models []plank.Model
 	var slots []plank.ResidentModel
 	for m, s := range r.slots {
-		if s.inUse > 0 || s.pinned && now.Before(r.pinnedUntil) || wanted[m] && !s.draining {
+		if s.inUse > 0 || now.Before(s.keepUntil) || s.pinned && now.Before(r.pinnedUntil) || wanted[m] && !s.draining {
 			continue
 		}
 		models = append(models, m)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -66,6 +66,9 @@
 	// unloadTimeout must be less than orderMargin.
 	unloadTimeout = time.Second
 	loadTimeout   = 15 * time.Second
+	// cancelTimeout is the time within which an engine ends a request whose connection
+	// was closed.
+	cancelTimeout = time.Second
 	// reportInterval is the pause between requests for the engine's report.
 	reportInterval = time.Second
 	// maxReportAge is the longest time by which a report may lag behind the
@@ -130,6 +133,8 @@
 	loadedAt time.Time
 	// pinned is set when the slot may still serve requests of a previous owner.
 	pinned bool
+	// keepUntil is when a request that was given up counts as ended on the engine.
+	keepUntil time.Time
 	// draining is set when the slot gets no new requests, so that its model can be
 	// evicted.
 	draining bool
@@ -234,6 +239,14 @@
 	return true
 }
 
+// keepSlot keeps the slot of a request that is given up while the engine runs it:
+// the engine ends the request only when it notices that the connection is closed.
+func (r *Runner) keepSlot(req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	req.slot.keepUntil = r.deps.Clock.Now().Add(cancelTimeout)
+}
+
 // finish removes a running request.
 func (r *Runner) finish(req *request, err error) {
 	r.mu.Lock()
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -320,6 +320,28 @@
 	assert.Equal(t, orders, 1)
 }
 
+// TestNoEvictionInUseAfterCancel cancels a request that the engine ends some time
+// after the connection was closed. Its adapter stays in use until then.
+func TestNoEvictionInUseAfterCancel(t *testing.T) {
+	e := newFakeEngine(t, model(1), model(2))
+	e.endDelay = 200 * time.Millisecond
+	r := newRunner(t, e, queue.NewFair(), time.Now().Add(farFuture), time.Time{})
+	submit(r, "two", model(2), false)
+	ctx, cancel := context.WithCancel(t.Context())
+	one := make(chan error, 1)
+	go func() {
+		job := plank.Job{ID: "one", Workspace: "w", Model: model(1), Deadline: time.Now().Add(time.Minute)}
+		one <- r.Submit(ctx, job, func(plank.Chunk) error { return nil })
+	}()
+	waitFor(t, "running", func() bool { _, n := e.counts(); return n == 2 })
+	three := submit(r, "three", model(3), false)
+	cancel()
+	assert.ErrorIs(t, <-one, context.Canceled)
+	waitFor(t, "third running", func() bool { _, n := e.counts(); return n == 3 })
+	e.finish("three")
+	assert.NilError(t, <-three)
+}
+
 // TestPendingLoadDelaysNoOthers checks that with the fair queue a request whose
 // adapter is resident overtakes one that waits for a load. With the FIFO baseline
 // it does not.
--- a/internal/runner/submit.go
+++ b/internal/runner/submit.go
@@ -71,6 +71,9 @@
 		}()
 		return nil
 	}
+	if err != nil && refused == nil {
+		r.keepSlot(req)
+	}
 	r.finish(req, err)
 	return err
 }
