--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -25,12 +25,15 @@
 	var out []move
 	// Thousands of reservations may be queued, so the capacities of the engines are
 	// computed once and not for each of them.
-	capacities := make(map[*Engine]capacity, len(engines))
-	for _, e := range engines {
-		capacities[e] = e.capacity(now)
-	}
+	var capacities map[*Engine]capacity
 	for _, e := range engines {
 		for _, res := range e.movable(now) {
+			if capacities == nil {
+				capacities = make(map[*Engine]capacity, len(engines))
+				for _, e := range engines {
+					capacities[e] = e.capacity(now)
+				}
+			}
 			if to := bestEngine(engines, res, now, func(o *Engine) bool { return o != e && o.accepts(res, now, mayLoadCold, capacities[o]) }); to != nil {
 				out = append(out, move{res: res, to: to})
 				delete(capacities, to)
