--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -63,7 +63,14 @@
 	status       *wire.Gossip
 	flights      []*wire.Flight
 	statusChange uint64
+	// record and recordWithoutCalls are the state that records carry beside identity and
+	// usages, with and without the calls on engines; nil until one is needed. Many streams
+	// share them, so they are not modified.
+	record, recordWithoutCalls *wire.Gossip
+	// usages holds the VM's usages by workspace, and usagesChange the number of the last
+	// change of any.
 	usages       map[string]usageChange
+	usagesChange uint64
 }
 
 // A usageChange is a usage with the number of its last change.
@@ -134,18 +141,41 @@
 	for _, d := range g.Duties {
 		p.Leases[plank.DomainID(d.Domain)] = Lease{Term: plank.Term(d.Term), Version: plank.ObjectVersion(d.Version)}
 	}
-	status := &wire.Gossip{
-		Leaving: g.Leaving, Settled: g.Settled, Relaying: g.Relaying, Slow: g.Slow, Manifest: g.Manifest, ColdLoads: g.ColdLoads, Duties: g.Duties,
-		NewsMicros: -1,
-	}
+	status := statusOf(g)
 	if p.status == nil || !sameCalls || !proto.Equal(p.status, status) {
 		p.statusChange = change
 	}
-	p.status, p.flights = status, g.Flights
+	p.status, p.flights, p.record, p.recordWithoutCalls = status, g.Flights, nil, nil
 	if p.usages == nil {
 		p.usages = make(map[string]usageChange)
 	}
 	for _, u := range g.Usages {
 		p.usages[u.Workspace] = usageChange{usage: u, change: change}
+		p.usagesChange = change
+	}
+}
+
+// statusOf returns the part of a VM's state that records carry beside its calls, usages and
+// identity.
+func statusOf(g *wire.Gossip) *wire.Gossip {
+	return &wire.Gossip{
+		Leaving: g.Leaving, Settled: g.Settled, Relaying: g.Relaying, Slow: g.Slow, Manifest: g.Manifest, ColdLoads: g.ColdLoads, Duties: g.Duties,
+		NewsMicros: -1,
+	}
+}
+
+// sharedRecord returns the state that records carry beside identity and usages.
+func (p *Peer) sharedRecord(omitCalls bool) *wire.Gossip {
+	record := &p.record
+	if omitCalls {
+		record = &p.recordWithoutCalls
+	}
+	if *record == nil {
+		*record = statusOf(p.status)
+		(*record).Flights = p.flights
+		if omitCalls {
+			(*record).Flights = slices.DeleteFunc(slices.Clone(p.flights), func(f *wire.Flight) bool { return len(f.Adapters) > 0 })
+		}
 	}
+	return *record
 }
--- a/internal/mesh/record.go
+++ b/internal/mesh/record.go
@@ -1,10 +1,8 @@
 package mesh
 
 import (
-	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -86,19 +84,21 @@
 func (p *Peer) stateSince(sent *sentRecord, omitCalls bool) *wire.Gossip {
 	isNew := sent.boot != p.Boot
 	var usages []*wire.Usage
-	for _, u := range p.usages {
-		if isNew || u.change > sent.change {
-			usages = append(usages, u.usage)
+	if isNew || p.usagesChange > sent.change {
+		for _, u := range p.usages {
+			if isNew || u.change > sent.change {
+				usages = append(usages, u.usage)
+			}
 		}
 	}
-	if !isNew && p.statusChange <= sent.change && len(usages) == 0 {
-		return nil
-	}
-	g := proto.CloneOf(p.status)
-	g.Flights, g.Usages = p.flights, usages
-	if omitCalls {
-		g.Flights = slices.DeleteFunc(slices.Clone(g.Flights), func(f *wire.Flight) bool { return len(f.Adapters) > 0 })
+	if !isNew && len(usages) == 0 {
+		if p.statusChange <= sent.change {
+			return nil
+		}
+		return p.sharedRecord(omitCalls)
 	}
+	g := statusOf(p.status)
+	g.Flights, g.Usages = p.sharedRecord(omitCalls).Flights, usages
 	if isNew {
 		g.Vm, g.Boot, g.Domain, g.Address, g.Capacity = string(p.VM), string(p.Boot), string(p.Domain), p.Address, p.Capacity
 	}
