--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -129,32 +129,19 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
-// domainView returns what the lease on a domain depends on.
+// domainView returns what the lease on a domain depends on. While a fit VM claims the lease,
+// which is nearly always, it lists no candidates.
 func (l *dutyLoop) domainView(d plank.DomainID, now time.Time) duty.DomainView {
 	n := l.n
-	view := duty.DomainView{Boots: make(map[plank.VMID]plank.BootID)}
-	draining := false // whether a VM of the domain is
+	var view duty.DomainView
 	var newest plank.Term
-	var holder plank.VMID // by the newest claim
-	inDomain, others := []plank.VMID{}, []plank.VMID{}
-	capacity := map[plank.VMID]float64{n.settings.VM: capacity(n.settings)}
-	if l.n.delay.IsSlow() {
-		capacity[n.settings.VM] = 0 // after all others
-	}
-	if n.settings.Domain == d {
-		inDomain = append(inDomain, n.settings.VM)
-	} else {
-		others = append(others, n.settings.VM)
-	}
+	var holder plank.VMID              // by the newest claim
+	inDomain := n.settings.Domain == d // whether a VM of the domain is alive
+	draining := false                  // whether a VM of the domain is
 	n.mesh.Each(func(p *mesh.Peer) {
 		if !p.IsAlive(now) {
 			return
 		}
-		view.Boots[p.VM] = p.Boot
-		capacity[p.VM] = p.Capacity
-		if p.Slow {
-			capacity[p.VM] = 0
-		}
 		if claim, ok := p.Leases[d]; ok {
 			view.Claimed = true
 			// A VM that has lost the lease may not know it yet.
@@ -171,36 +158,57 @@
 		if l.lastClaimer[d] == p.VM && !view.Claimed {
 			view.Relinquished = true
 		}
-		if p.Leaving {
-			draining = draining || p.Domain == d
-			return
-		}
 		if p.Domain == d {
-			inDomain = append(inDomain, p.VM)
-		} else {
-			others = append(others, p.VM)
+			inDomain = inDomain || !p.Leaving
+			draining = draining || p.Leaving
 		}
 	})
 	if view.Claimed {
 		l.lastClaimer[d] = holder
 	}
-	if len(inDomain) > 0 {
+	if inDomain {
 		l.lastAlive[d] = now
 	}
-	switch {
-	case view.Claimed && view.UnfitHolder != "":
-		fit := slices.DeleteFunc(inDomain, func(vm plank.VMID) bool { return vm == holder || capacity[vm] == 0 })
-		view.Candidates = byCapacity(d, fit, capacity)
-	case view.Claimed && !l.draining.Load():
-		// There are no candidates while the duty is claimed.
-	case len(inDomain) > 0:
-		view.Candidates = byCapacity(d, inDomain, capacity)
-	case draining || now.Sub(l.lastAlive[d]) > orphanTimeout:
-		view.Candidates = byCapacity(d, others, capacity)
+	inUse := view.Claimed && view.UnfitHolder == "" && !l.draining.Load()
+	isOrphan := draining || now.Sub(l.lastAlive[d]) > orphanTimeout
+	if inUse || view.UnfitHolder == "" && !inDomain && !isOrphan {
+		return view
 	}
+	view.Candidates, view.Boots = l.candidates(d, inDomain || view.UnfitHolder != "", view.UnfitHolder, now)
 	return view
 }
 
+// candidates returns the VMs that may acquire the lease on a domain, in order of preference,
+// and the boot IDs of all live VMs. The candidates are those of the domain or those of all
+// other domains. If unfit is not empty, they are the VMs that are fit to replace it.
+func (l *dutyLoop) candidates(d plank.DomainID, ofDomain bool, unfit plank.VMID, now time.Time) ([]plank.VMID, map[plank.VMID]plank.BootID) {
+	self := l.n.settings
+	boots := make(map[plank.VMID]plank.BootID)
+	var vms []plank.VMID
+	capacities := make(map[plank.VMID]float64)
+	add := func(vm plank.VMID, domain plank.DomainID, capacity float64, slow bool) {
+		if slow {
+			capacity = 0 // after all others
+		}
+		if (domain == d) != ofDomain || unfit != "" && (vm == unfit || capacity == 0) {
+			return
+		}
+		vms = append(vms, vm)
+		capacities[vm] = capacity
+	}
+	add(self.VM, self.Domain, capacity(self), l.n.delay.IsSlow())
+	l.n.mesh.Each(func(p *mesh.Peer) {
+		if !p.IsAlive(now) {
+			return
+		}
+		boots[p.VM] = p.Boot
+		if !p.Leaving {
+			add(p.VM, p.Domain, p.Capacity, p.Slow)
+		}
+	})
+	return byCapacity(d, vms, capacities), boots
+}
+
 // byHash orders VMs for a domain's duty, in the same order on all VMs.
 func byHash(d plank.DomainID, vms []plank.VMID) []plank.VMID {
 	weight := func(vm plank.VMID) uint64 { return xxhash.Sum64String(string(d) + "/" + string(vm)) }
