--- a/cmd/knapweedplank/serve.go
+++ b/cmd/knapweedplank/serve.go
@@ -20,7 +20,7 @@
 }
 
 // gcPercent is the heap growth in percent that starts a garbage collection.
-const gcPercent = 50
+const gcPercent = 100
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully; a second signal
 // stops the process at once.
