mesh: states of engines whose holder no longer sends them are forgotten

Cause: 1,259 of 3,223 reservations were asked for at an engine that the caller's own VM had chosen, 1,172 of them at one with 'running 0'. These VMs had received the first engine states of b's holder, as the fleet started and two engines were still few enough to be sent to all. Later it sent to relays only. The states were never withdrawn, and engines known to be idle are chosen before any of those that only a holder knows.

Ruled out: silent holders (no holder failed to acknowledge), the limit of cold loads (one refusal).

TestEngineStatesOfAHolderThatSendsNoMoreAreForgotten fails before.

--- a/internal/mesh/engines.go
+++ b/internal/mesh/engines.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// forgetUnsentEngines removes the states of holders that are alive but no longer send to this
+// VM: without them the VM lets a holder choose the engine. The lock is held.
+func (m *Mesh) forgetUnsentEngines(now time.Time) {
+	for id, e := range m.engines {
+		if p := m.peers[e.Holder]; p != nil && p.IsAlive(now) && now.Sub(p.lastDirect) > p.aliveTimeout() {
+			delete(m.engines, id)
+		}
+	}
+}
+
 // SetOwnEngine sets the state of an engine whose lease this VM holds; nil removes it.
 func (m *Mesh) SetOwnEngine(id plank.EndpointID, state *wire.EngineState) {
 	m.mu.Lock()
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -185,6 +185,9 @@
 	counts map[plank.VMID]int64
 	boots  map[plank.VMID]plank.BootID // the run that each count is of
 	back   []plank.VMID
+	// engines holds the states of the engines that the VM orders, and duties its leases.
+	engines []*wire.EngineState
+	duties  []*wire.Duty
 }
 
 // Gossip implements mesh.LocalState.
@@ -192,7 +195,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
-	g := &wire.Gossip{NewsMicros: -1, Settled: true}
+	g := &wire.Gossip{NewsMicros: -1, Settled: true, Duties: c.duties}
+	if !opts.OmitEngines {
+		g.Engines = c.engines
+	}
 	if c.change > opts.AfterChange {
 		g.Usages = []*wire.Usage{{Workspace: "w", Tokens: c.count}}
 	}
@@ -574,3 +580,44 @@
 		}
 	})
 }
+
+// setEngines makes the VM the holder of its domain's lease with n engines.
+func (v *fleetVM) setEngines(n int) {
+	v.state.mu.Lock()
+	v.state.duties = []*wire.Duty{{Domain: string(v.self.Domain), Term: 1}}
+	for i := len(v.state.engines); i < n; i++ {
+		v.state.engines = append(v.state.engines, &wire.EngineState{Endpoint: fmt.Sprint("e", i)})
+	}
+	engines := v.state.engines
+	v.state.mu.Unlock()
+	for _, e := range engines {
+		v.SetOwnEngine(plank.EndpointID(e.Endpoint), e)
+	}
+	v.Wake()
+}
+
+// A holder sent the state of its first engines to VMs to which it no longer sent later, and
+// these chose its engines, which they took for idle, for the rest of the day: 39% of the
+// calls of a fleet of 195 VMs.
+func TestEngineStatesOfAHolderThatSendsNoMoreAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 60)
+		holder := f.vms[0]
+		time.Sleep(500 * time.Millisecond)
+		holder.setEngines(2)
+		knowing := func() (n int) {
+			for _, v := range f.vms[1:] {
+				if _, alive := v.Engine("e0"); alive {
+					n++
+				}
+			}
+			return n
+		}
+		f.within(5*time.Second, "other VMs know an engine", func() bool { return knowing() > 5 })
+		time.Sleep(6 * time.Second) // streams of the start are closed
+		holder.setEngines(40)
+		f.within(8*time.Second, "only holders know the engines", func() bool { return knowing() == 0 })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, knowing(), 0)
+	})
+}
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -14,12 +14,14 @@
 
 // This file defines the send loop for one VM, and starts and ends the loops.
 
-// updateTargets chooses anew which VMs this VM sends to.
+// updateTargets chooses anew which VMs this VM sends to, and forgets what those that no
+// longer send to it would have to keep current.
 func (m *Mesh) updateTargets() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	m.planned = now
+	m.forgetUnsentEngines(now)
 	var targets map[string]bool
 	if m.large() {
 		targets = m.planTargets(now)
