Runner: an owner that was paused beyond its lease dispatches nothing

Cause: a VM dispatches requests of resident adapters beyond its lease, since one that is cut off serves what it can. After a pause it did so too, before it knew that another VM owned the engine; that VM knows nothing of these requests and may evict their adapters.

Change: if the lease ran out in a pause of four seconds or more, waiting requests are refused as not run, and new ones too, until the lease is renewed.

TestPausedOwnerDispatchesNothing fails before (it waits for the refusal until its limit).

--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -22,6 +22,9 @@
 	missed := 0
 	for ctx.Err() == nil {
 		requestedAt := r.deps.Clock.Now()
+		r.mu.Lock()
+		r.checkPause()
+		r.mu.Unlock()
 		report, err := r.deps.Engine.Report(ctx)
 		if err != nil {
 			missed++
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -74,6 +74,9 @@
 	// maxReportAge is the longest time by which a report may lag behind the
 	// engine's actual state.
 	maxReportAge = 2 * time.Second
+	// maxInactivity is how long the runner may do nothing, at most two report intervals
+	// and a request for a report, before the process counts as paused.
+	maxInactivity = 4 * time.Second
 	// drainPatienceDivisor divides the time from a request's arrival to its
 	// deadline. After that part of it a slot in use is drained, if the request
 	// still waits for a load.
@@ -108,16 +111,20 @@
 	// exclusive is the running request beside which no other is dispatched until
 	// its first chunk, or nil.
 	exclusive  *request
-	boot       plank.BootID        // of the last report; empty before the first
-	reportedAt time.Time           // when the last report was requested
-	up         bool                // the engine answers requests for reports
-	leaving    bool                // the endpoint is draining and accepts no new requests
-	closing    bool                // this VM releases the endpoint
-	lastOrder  time.Time           // when the last load or eviction was ordered or ended
-	createdAt  time.Time           // time of the call of New
-	suspects   []plank.Fingerprint // requests that ran as a stream broke
-	crashCheck *crashCheck         // the check in progress, or nil
-	idle       chan struct{}       // closed once closing is set and nothing runs or loads
+	boot       plank.BootID // of the last report; empty before the first
+	reportedAt time.Time    // when the last report was requested
+	up         bool         // the engine answers requests for reports
+	leaving    bool         // the endpoint is draining and accepts no new requests
+	closing    bool         // this VM releases the endpoint
+	// activeAt is when the runner last did anything. unconfirmed is set if the lease
+	// expired in a pause of the process, so that another VM may own the engine.
+	activeAt    time.Time
+	unconfirmed bool
+	lastOrder   time.Time           // when the last load or eviction was ordered or ended
+	createdAt   time.Time           // time of the call of New
+	suspects    []plank.Fingerprint // requests that ran as a stream broke
+	crashCheck  *crashCheck         // the check in progress, or nil
+	idle        chan struct{}       // closed once closing is set and nothing runs or loads
 
 	wakeLoader chan struct{} // signals loadLoop that a model waits to be loaded
 	reportNow  chan struct{} // requests a report before reportInterval has passed
@@ -167,7 +174,7 @@
 	r := &Runner{
 		opts: opts, deps: deps, term: term, pinnedUntil: pinnedUntil,
 		slots: make(map[plank.Model]*slot), loadFailures: make(map[plank.Model]int),
-		queue: opts.Queue, lastOrder: deps.Clock.Now(), createdAt: deps.Clock.Now(), waiting: make(map[uint64]*request), running: make(map[uint64]*request),
+		queue: opts.Queue, lastOrder: deps.Clock.Now(), createdAt: deps.Clock.Now(), activeAt: deps.Clock.Now(), waiting: make(map[uint64]*request), running: make(map[uint64]*request),
 		idle: make(chan struct{}), wakeLoader: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), cancel: cancel,
 	}
 	r.goroutines.Add(2)
@@ -204,8 +211,9 @@
 func (r *Runner) enqueue(job plank.Job, stop context.CancelCauseFunc) (*request, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkPause()
 	switch {
-	case r.closing:
+	case r.closing, r.unconfirmed:
 		return nil, plank.Refuse(plank.CodeWrongOwner, "endpoint %s changes its owner", r.opts.Endpoint)
 	case r.leaving:
 		return nil, plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is leaving", r.opts.Endpoint)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,11 +155,17 @@
 // newRunner returns the runner of an engine with two adapter slots, once the runner
 // has a report of the engine.
 func newRunner(t *testing.T, e *fakeEngine, q plank.Queue, validUntil time.Time, pinnedUntil time.Time) *runner.Runner {
+	t.Helper()
+	return newRunnerWithClock(t, plank.SystemClock{}, e, q, validUntil, pinnedUntil)
+}
+
+// newRunnerWithClock is like newRunner with a clock that the test may advance.
+func newRunnerWithClock(t *testing.T, clock plank.Clock, e *fakeEngine, q plank.Queue, validUntil time.Time, pinnedUntil time.Time) *runner.Runner {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := runner.New(runner.Options{Endpoint: "e", AdapterSlots: 2, Batch: 4, Queue: q, Evictor: place.LowestValue{}, Order: order.HighestValue{}}, runner.Deps{
-		Engine: e, Clock: plank.SystemClock{}, LoadLimiter: unlimitedLoads{}, Poison: poison.New(plank.SystemClock{}, nil), Log: logrus.NewEntry(log),
+		Engine: e, Clock: clock, LoadLimiter: unlimitedLoads{}, Poison: poison.New(clock, nil), Log: logrus.NewEntry(log),
 		ValidUntil: func() time.Time { return validUntil }, Copies: func(plank.Model) int { return 1 },
 	}, 2, pinnedUntil)
 	t.Cleanup(r.Close)
@@ -203,6 +211,34 @@
 	assert.Equal(t, orders, 0)
 }
 
+// A jumpingClock is a clock that a test advances, as a pause of the process does.
+type jumpingClock struct{ ahead atomic.Int64 }
+
+// Now implements plank.Clock.
+func (c *jumpingClock) Now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
+
+// TestPausedOwnerDispatchesNothing pauses an owner until its lease has run out. Another VM
+// may own the engine then, so a request that waits, or comes, is not sent to it.
+func TestPausedOwnerDispatchesNothing(t *testing.T) {
+	e := newFakeEngine(t, model(1))
+	clock := &jumpingClock{}
+	r := newRunnerWithClock(t, clock, e, queue.NewFair(), time.Now().Add(5*time.Second), time.Time{})
+	for i := range 4 { // fills the batch
+		submit(r, fmt.Sprint("running", i), model(1), false)
+	}
+	waitFor(t, "running", func() bool { _, n := e.counts(); return n == 4 })
+	waiting := submit(r, "waiting", model(1), false)
+	waitFor(t, "queued", func() bool { return r.Status().Outstanding == 5 })
+	clock.ahead.Store(int64(10 * time.Second))
+	e.finish("running0")
+	var refusal *plank.RefusalError
+	assert.Assert(t, errors.As(<-waiting, &refusal))
+	assert.Equal(t, refusal.Code, plank.CodeWrongOwner)
+	assert.Assert(t, errors.As(<-submit(r, "late", model(1), false), &refusal))
+	_, started := e.counts()
+	assert.Equal(t, started, 4)
+}
+
 // TestNoEvictionNearEndOfLease checks that no eviction is ordered shortly before the
 // lease expires, since it might still be carried out under the next owner. Loads
 // into free slots continue.
--- a/internal/runner/sched.go
+++ b/internal/runner/sched.go
@@ -14,7 +14,8 @@
 // schedule dispatches waiting requests while the batch has room, and signals
 // loadLoop if a model waits to be loaded. The lock is held.
 func (r *Runner) schedule() {
-	for r.up && !r.closing && r.exclusive == nil && len(r.running) < r.opts.Batch {
+	r.checkPause()
+	for r.up && !r.closing && !r.unconfirmed && r.exclusive == nil && len(r.running) < r.opts.Batch {
 		now := r.deps.Clock.Now()
 		aloneDue := r.isAloneDue(now)
 		h, ok := r.queue.Next(func(h uint64) bool { return r.isReady(r.waiting[h], aloneDue) })
@@ -31,6 +32,24 @@
 	}
 }
 
+// checkPause refuses the waiting requests, and those that come, if the lease expired in a
+// pause of the process, until it is renewed. Without a pause the owner dispatches requests
+// of resident models beyond its lease, since a VM that is cut off serves what it can. The
+// lock is held.
+func (r *Runner) checkPause() {
+	now := r.deps.Clock.Now()
+	expired := !now.Before(r.deps.ValidUntil())
+	paused := now.Sub(r.activeAt) > maxInactivity
+	r.activeAt = now
+	if !expired {
+		r.unconfirmed = false
+	} else if paused && !r.unconfirmed {
+		r.unconfirmed = true
+		r.deps.Log.WithField("endpoint", r.opts.Endpoint).Warn("runner: the lease expired in a pause, waiting requests are refused")
+		r.refuseWaiting(plank.Refuse(plank.CodeWrongOwner, "endpoint %s may have another owner", r.opts.Endpoint))
+	}
+}
+
 // dispatch moves a waiting request to the running ones and lets Submit send it. The
 // lock is held.
 func (r *Runner) dispatch(req *request, now time.Time) {
