--- a/call.go
+++ b/call.go
@@ -31,6 +31,8 @@
 	// the output. HasTokens reports whether the caller sent them.
 	PromptTokens, MaxOutputTokens Tokens
 	HasTokens                     bool
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []PartID
 	// Hint is the caller's estimate of the output's length; 0 if there is none.
 	Hint Tokens
 	// LastEvent is the id of the last stream event that the caller has received.
--- a/ids.go
+++ b/ids.go
@@ -42,3 +42,6 @@
 // A WriteToken is a value that a writer attaches to a write, so that it can
 // recognise its own write if the answer was lost.
 type WriteToken string
+
+// A PartID names a part of a prompt that requests share, such as a document.
+type PartID string
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -240,8 +240,12 @@
 	if s.deps.Clock.Now().After(j.deadline) {
 		return // the attempt ended at the deadline
 	}
+	begun := !j.firstEventAt.IsZero()
 	go func() {
 		if s.deps.IsDown(inst) {
+			j.log.WithFields(logrus.Fields{
+				"endpoint": inst.ID, "born": inst.Born.UnixMilli(), "parts": j.call.Parts, "begun": begun,
+			}).Info("front: the endpoint crashed during the call")
 			s.deps.Health.RecordUnreachable(inst.ID)
 			s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint})
 		}
