poison: a prompt part that crashes engine after engine is quarantined

Cause: requests that crash endpoints were told apart by a hash of the whole request only. Requests with the part are no two alike, so each counted once.

Streams that had begun tell nothing.

Change: poison.PartTable. A VM records for each crash the parts of its calls without a first event; observations are exchanged with the state of VMs. A first event with a part clears its observations. A part is quarantined after three crashes, of two requests at least, if it explains them better than the parts beside it; parts that were present in just the same crashes are quarantined together, so that requests with one of them are served and show which it is. Parts that were served before need five. Crashes within 200 ms count once. Calls are checked again before each sending, as they may have waited. Ends after an hour, or with the first answer that begins.

--- a/instance.go
+++ b/instance.go
@@ -21,6 +21,15 @@
 	Seq uint64
 }
 
+// A Run identifies one run of an endpoint.
+type Run struct {
+	Endpoint EndpointID
+	Born     int64 // as in Instance, in Unix milliseconds
+}
+
+// Run returns the run that the instance is.
+func (i Instance) Run() Run { return Run{i.ID, i.Born.UnixMilli()} }
+
 // A Residency is one version of an adapter on an engine. Version is 0 if it is
 // unknown.
 type Residency struct {
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -67,6 +67,10 @@
 			skip[inst.ID] = true
 			continue
 		}
+		if refusal := s.checkParts(j); refusal != nil {
+			res.Release()
+			return s.refuseQuarantined(j, p, refusal)
+		}
 		r, e := s.tryModel(ctx, j, p, inst, res)
 		if r == served || r == failed || r == abandoned {
 			return e
@@ -125,6 +129,18 @@
 	return s.refuse(j.w, j.log, r)
 }
 
+// refuseQuarantined ends a call one of whose prompt parts was quarantined while it waited
+// or between two attempts.
+func (s *Server) refuseQuarantined(j *job, p *progress, r *plank.RefusalError) callEnd {
+	if p.begun {
+		return callEnd{outcome: outcomeBroken}
+	}
+	if j.mayHaveRun {
+		r.Ran = plank.Unknown
+	}
+	return s.refuse(j.w, j.log, r)
+}
+
 // pickCall returns the call with its expected output, for the selection of an engine.
 func (j *job) pickCall() pick.Call {
 	call := pick.Call{Adapter: j.call.Adapter, Prompt: j.call.PromptTokens, Output: defaultOutputFraction * j.call.MaxOutputTokens}
@@ -320,6 +336,7 @@
 		a.result, a.err = s.relay(j, p, a.reply, func() {
 			stallTimer.Stop()
 			res.MarkStarted()
+			s.deps.Parts.RecordBegun(j.call.Parts)
 		})
 		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case (a.result == served || a.result == failed) && p.begun:
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -150,6 +150,9 @@
 		a.body, a.err = s.bodies.read(reply.Body)
 	}
 	a.result = s.classify(j, &a)
+	if a.result == served {
+		s.deps.Parts.RecordBegun(j.call.Parts)
+	}
 	s.recordHealth(j, &a)
 	return a
 }
@@ -248,6 +251,9 @@
 			}).Info("front: the endpoint crashed during the call")
 			s.deps.Health.RecordUnreachable(inst.ID)
 			s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint})
+			if !begun {
+				s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
+			}
 		}
 	}()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -39,6 +39,7 @@
 	Budgets  *Budgets
 	Health   *health.Table
 	Poison   *poison.Table
+	Parts    *poison.PartTable
 	InFlight *InFlight
 	Sender   plank.Sender
 	// StopTime returns when the process will end. It returns the zero time
@@ -169,9 +170,20 @@
 	if e, ok := s.deps.Poison.Lookup(j.fingerprint); ok && e.Quarantined {
 		return nil, plank.Refuse(plank.CodeQuarantined, "the request crashed %d endpoints", e.Crashes)
 	}
+	if r := s.checkParts(j); r != nil {
+		return nil, r
+	}
 	return j, s.takeQuota(j)
 }
 
+// checkParts refuses a call if a part of its prompt is quarantined.
+func (s *Server) checkParts(j *job) *plank.RefusalError {
+	if q, ok := s.deps.Parts.Lookup(j.call.Parts); ok {
+		return plank.Refuse(plank.CodeQuarantined, "the parts %v of the prompt crashed %d endpoints", q.Parts, q.Crashes)
+	}
+	return nil
+}
+
 // takeQuota takes the call's cost from its workspace's limit, or refuses the call.
 func (s *Server) takeQuota(j *job) *plank.RefusalError {
 	if j.workspace == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	limiter      *limit.GossipLimiter
 	budgets      *front.Budgets
 	poison       *poison.Table
+	parts        *poison.PartTable
 	broker       *front.Broker
 	chooser      *front.Chooser
 	health       *health.Table
@@ -148,6 +149,7 @@
 	n.state = &state{
 		wake:    func() { n.mesh.Wake() },
 		engines: make(map[plank.EndpointID]engineChange), suspects: make(map[plank.Fingerprint]suspectChange),
+		observations: make(map[poison.ObservationKey]observationChange),
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
@@ -156,13 +158,19 @@
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
 	n.poison = poison.New(n.clock, n.state.setSuspect)
-	n.state.view, n.state.limiter, n.state.poison = n.view, n.limiter, n.poison
+	n.parts = poison.NewPartTable(n.clock, n.state.setObservations, n.quarantineChanged)
+	n.state.view, n.state.limiter, n.state.poison, n.state.parts = n.view, n.limiter, n.poison, n.parts
 	n.state.inFlight = front.NewInFlight(func() { n.mesh.Wake() })
 	n.releaseTimes.since = make(map[plank.AdapterRef]time.Time)
 	bounds := n.settings.Bounds
 	n.budgets = front.NewBudgets(bounds.RetryRatio*retryBudgetFraction, bounds.RetrySlack*retryBudgetFraction)
 }
 
+// quarantineChanged logs that a quarantine of prompt parts begins or ends.
+func (n *Node) quarantineChanged(q poison.Quarantine, begins bool) {
+	n.log.WithFields(logrus.Fields{"parts": q.Parts, "crashes": q.Crashes, "begins": begins}).Warn("poison: quarantine of prompt parts")
+}
+
 // buildClients creates the clients of the store and of the endpoints.
 func (n *Node) buildClients() {
 	dialer := net.Dialer{Timeout: storeTimeout, Control: conns.SetUserTimeout}
@@ -290,7 +298,7 @@
 	}
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Limiter: n.limiter, Budgets: n.budgets,
-		Health: n.health, Poison: n.poison, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
+		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
 		StopTime: n.exitTime, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.callerListener = idle.Wrap(callers)
@@ -362,6 +370,7 @@
 	go func() {
 		for pause.For(ctx, sweepInterval) {
 			instances.Expire()
+			n.state.expireObservations()
 			current := n.view.Load().Instances
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
 		}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -39,6 +40,7 @@
 	limiter     *limit.GossipLimiter
 	inFlight    *front.InFlight
 	poison      *poison.Table
+	parts       *poison.PartTable
 	table       *watch.Table
 	watchPolicy *watchPolicy
 	clock       plank.Clock
@@ -54,6 +56,9 @@
 	objects map[string]uint64
 	// suspects holds the poison entries with the numbers of their last changes.
 	suspects map[plank.Fingerprint]suspectChange
+	// observations holds the crash observations of prompt parts with the numbers of
+	// their last changes.
+	observations map[poison.ObservationKey]observationChange
 }
 
 // An engineChange is the state of an engine with the number of its last change.
@@ -68,6 +73,11 @@
 	change uint64
 }
 
+type observationChange struct {
+	observation poison.Observation
+	change      uint64
+}
+
 var _ mesh.LocalState = (*state)(nil)
 
 // recordChange returns the number of a new change and wakes the mesh. The caller
@@ -112,6 +122,12 @@
 			})
 		}
 	}
+	now := s.clock.Now()
+	for _, c := range s.observations {
+		if c.change > opts.AfterChange {
+			g.CrashObservations = append(g.CrashObservations, encodeObservation(c.observation, now))
+		}
+	}
 	return g, covered
 }
 
@@ -219,6 +235,14 @@
 			s.setSuspect(e) // VMs that the sender does not send to learn of it here
 		}
 	}
+	if len(g.CrashObservations) > 0 {
+		now := s.clock.Now()
+		observations := make([]poison.Observation, 0, len(g.CrashObservations))
+		for _, x := range g.CrashObservations {
+			observations = append(observations, decodeObservation(x, now.Add(-age)))
+		}
+		s.parts.Merge(observations)
+	}
 }
 
 // setEngine publishes the state of an engine; nil withdraws it.
@@ -235,6 +259,31 @@
 	s.suspects[e.Print] = suspectChange{entry: e, change: s.recordChange()}
 }
 
+// setObservations publishes crash observations of prompt parts.
+func (s *state) setObservations(observations []poison.Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := s.recordChange()
+	for _, o := range observations {
+		s.observations[o.Key()] = observationChange{o, change}
+	}
+	for key := range s.observations {
+		if len(s.observations) <= poison.MaxObservations {
+			break
+		}
+		delete(s.observations, key)
+	}
+}
+
+// expireObservations removes the crash observations that no longer count.
+func (s *state) expireObservations() {
+	s.parts.Expire()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	maps.DeleteFunc(s.observations, func(_ poison.ObservationKey, c observationChange) bool { return c.observation.IsExpired(now) })
+}
+
 // setDuties publishes the domains whose duties this VM holds.
 func (s *state) setDuties(duties []*wire.Duty) {
 	s.mu.Lock()
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/watch"
 	"knapweedplank.org/plank/platform"
 )
@@ -60,3 +62,37 @@
 	rest, _ := n.state.changedObjects(at, last)
 	assert.Equal(t, len(rest), 0)
 }
+
+// What one VM saw of a crash counts on the others, and so does that an answer has begun.
+func TestCrashObservationsReachOtherVMs(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var nodes []*Node
+	for range 2 {
+		n := &Node{settings: &platform.Settings{VM: "vm", Domain: "d"}, clock: plank.SystemClock{}, log: log.WithField("vm", "vm")}
+		n.buildState()
+		n.state.wake = func() {}
+		n.state.fleetSize = func() int { return smallFleet }
+		nodes = append(nodes, n)
+	}
+	exchange := func(from, to *Node, age time.Duration) {
+		g, _ := from.state.Gossip(mesh.GossipOptions{})
+		to.state.Merge("vm", "boot", g, age)
+	}
+	parts := []plank.PartID{"sound", "deadly"}
+	for i := range 3 {
+		nodes[i%2].parts.RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, plank.Fingerprint([]byte{byte(i)}), parts)
+		exchange(nodes[i%2], nodes[1-i%2], 0)
+		time.Sleep(250 * time.Millisecond) // crashes at the same moment count once
+	}
+	for _, n := range nodes {
+		q, ok := n.parts.Lookup(parts)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(q.Parts), 2)
+	}
+	nodes[0].parts.RecordBegun(parts[:1])
+	exchange(nodes[0], nodes[1], time.Minute)
+	q, ok := nodes[1].parts.Lookup(parts[1:])
+	assert.Assert(t, ok, "the part with which no answer began is no longer quarantined")
+	assert.Equal(t, len(q.Parts), 1)
+}
