front: streams that had begun are not suspected of a crash of their engine

Cause: each call that a crash broke off was recorded.

Change: only calls without a first event are recorded. TestStreamCutByCrashesIsQuarantined fails without it (the third request is refused for 15 s).

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -238,7 +238,7 @@
 }
 
 // checkCrash checks in the background whether the endpoint crashed while it ran
-// the call, and records the crash against the request's fingerprint.
+// the call, and records the crash against the request if its answer had not begun.
 func (s *Server) checkCrash(j *job, inst plank.Instance) {
 	if s.deps.Clock.Now().After(j.deadline) {
 		return // the attempt ended at the deadline
@@ -250,8 +250,8 @@
 				"endpoint": inst.ID, "born": inst.Born.UnixMilli(), "parts": j.call.Parts, "begun": begun,
 			}).Info("front: the endpoint crashed during the call")
 			s.deps.Health.RecordUnreachable(inst.ID)
-			s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint})
 			if !begun {
+				s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint})
 				s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
 			}
 		}
