front, poison: a request that did not run alone is quarantined at its third crash

Change: the recorder says whether the request ran alone; internal/runner, which runs suspects alone, keeps its second crash.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -251,7 +251,7 @@
 			}).Info("front: the endpoint crashed during the call")
 			s.deps.Health.RecordUnreachable(inst.ID)
 			if !begun {
-				s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint})
+				s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint}, false)
 				s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
 			}
 		}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -45,10 +45,10 @@
 	return &Table{clock: clock, entries: make(map[plank.Fingerprint]Entry), onChange: onChange}
 }
 
-// RecordCrash records that an endpoint crashed while the given requests ran. A request
-// that ran alone is quarantined at its second crash.
-func (t *Table) RecordCrash(fingerprints []plank.Fingerprint) {
-	alone := len(fingerprints) == 1
+// RecordCrash records that an endpoint crashed while the given requests ran. alone is set
+// if no other request ran on the endpoint; the request is then quarantined at its second
+// crash.
+func (t *Table) RecordCrash(fingerprints []plank.Fingerprint, alone bool) {
 	for _, fingerprint := range fingerprints {
 		t.mu.Lock()
 		e := t.entries[fingerprint]
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -213,7 +213,7 @@
 	r.crashCheck = nil
 	r.mu.Unlock()
 	if !c.alive && len(suspects) > 0 {
-		r.deps.Poison.RecordCrash(suspects)
+		r.deps.Poison.RecordCrash(suspects, len(suspects) == 1)
 	}
 	close(c.done)
 }
