conns: attempts of one request go over different connections

Callers would see: 503 'not run' for a request that the engine runs, or the request at a second engine as well. It can happen here: an engine that refused a call may be asked again, as it may hold the adapter by then; both attempts bear the call's id, by which answers are told apart, and the second took the kept connection, on which the repeated refusal came first.

Change: a connection remembers the ids of its last 16 requests and takes no second attempt of one of them. Weighed: to close each connection after a refusal (a new connection for each refusal, most of them in overload).

TestRepeatedRefusalIsNoAnswerToTheNextAttempt fails without it (NotRun true, want false).

--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,9 @@
 	// the users' sites set for requests.
 	maxHeadBytes    = 64 << 10
 	readBufferBytes = 4 << 10
+	// maxCarried is the number of requests of a connection whose IDs are kept. A late
+	// copy of an answer before these would have met one of them.
+	maxCarried = 16
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 0x12
 )
@@ -73,6 +77,9 @@
 
 // A Request is one encoded request.
 type Request struct {
+	// ID is shared by the attempts of one request, whose answers cannot be told apart;
+	// empty if there is only one attempt. The pool sends each on another connection.
+	ID     plank.RequestID
 	Method string
 	Head   []byte // request line and header fields, including the final empty line
 	Body   []byte
@@ -87,6 +94,8 @@
 	br         *bufio.Reader // reads from head
 	head       *headReader
 	reuseUntil time.Time // end of the time in which it may be reused
+	// carried holds the IDs of the last requests, the oldest first.
+	carried []plank.RequestID
 }
 
 // New returns an empty pool.
@@ -108,13 +117,14 @@
 // connection is closed if ctx ends before the body has been read. If there is no
 // answer, Do returns a *plank.SendError.
 func (p *Pool) Do(ctx context.Context, key Key, r Request) (*http.Response, error) {
-	c := p.take(key)
+	c := p.take(key, r.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, key); err != nil {
 			return nil, err
 		}
 	}
+	c.record(r.ID)
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	written, err := c.write(r)
 	if err != nil {
@@ -223,24 +233,38 @@
 	}
 }
 
-// take removes and returns an idle connection that is still usable, or returns nil.
-func (p *Pool) take(key Key) *conn {
+// record adds the ID of a request that is sent on the connection.
+func (c *conn) record(id plank.RequestID) {
+	if id == "" {
+		return
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = append(c.carried[:0], c.carried[1:]...)
+	}
+	c.carried = append(c.carried, id)
+}
+
+// take removes and returns an idle connection that is still usable and did not carry a
+// request with the given ID, or returns nil.
+func (p *Pool) take(key Key, id plank.RequestID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
-	for {
-		cs := p.idle[key]
-		if len(cs) == 0 {
-			delete(p.idle, key)
-			return nil
+	for i := len(p.idle[key]) - 1; i >= 0; i-- {
+		c := p.idle[key][i]
+		if id != "" && slices.Contains(c.carried, id) {
+			continue
 		}
-		c := cs[len(cs)-1]
-		p.idle[key] = cs[:len(cs)-1]
+		p.idle[key] = slices.Delete(p.idle[key], i, i+1)
 		if c.reuseUntil.After(now) && c.isIdle() {
 			return c
 		}
 		c.Close()
 	}
+	if len(p.idle[key]) == 0 {
+		delete(p.idle, key)
+	}
+	return nil
 }
 
 // put returns a connection to the pool. h is the header of the last answer, which
