--- a/internal/conns/pool_test.go
+++ b/internal/conns/pool_test.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// An endpoint that closes in the middle of an answer's head has not answered, wherever the
+// head ends.
+func TestHeadCutAnywhere(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 120\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
+		head := "HTTP/1.1 200 OK\r\n" + framing + "Content-Type: text/event-stream\r\nId: me\r\n\r\n"
+		for n := range len(head) {
+			addr, _ := serve(t, head[:n]+"!")
+			_, err := get(newPool(), addr)
+			var send *plank.SendError
+			assert.Assert(t, errors.As(err, &send) && send.Sent, "%q: %v", head[:n], err)
+		}
+	}
+}
+
 func TestRefusedConnection(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
