front: a granted call is not sent to an engine that leaves or is gone

Callers saw nothing; rule DRAIN: a call reaches an engine later than the bound after this VM knew that it leaves.

Cause: only the choice of an engine looked at registrations. A reservation may wait for a second and more beyond the target, and a holder that is cut off from the store goes on granting its engines.

Change: the registration is looked at again once the reservation is there. TestGrantedCallIsSentToAnEngineThatLeaves failed before in all three cases (sent to e1).

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -55,6 +55,13 @@
 	return c.holders.mayAsk(addr, c.Clock.Now())
 }
 
+// isAvailable reports whether calls may be sent to an endpoint that was chosen or granted
+// some time ago: it is registered and does not leave.
+func (c *Chooser) isAvailable(inst plank.Instance) bool {
+	current, ok := c.View.Load().Instances[inst.ID]
+	return ok && current.Run() == inst.Run() && !current.Leaving
+}
+
 // A Choice is the engine selected for a call.
 type Choice struct {
 	// AnyStateKnown is set if this VM has the state of at least one engine.
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -71,6 +71,12 @@
 			res.Release()
 			return s.refuseQuarantined(j, p, refusal)
 		}
+		if !s.deps.Chooser.isAvailable(inst) {
+			j.log.WithField("endpoint", inst.ID).Info("front: the granted engine leaves or is gone")
+			res.Release()
+			skip[inst.ID] = true
+			continue
+		}
 		r, e := s.tryModel(ctx, j, p, inst, res)
 		if r == served || r == failed || r == abandoned {
 			return e
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,236 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/front"
+	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/health"
+	"knapweedplank.org/plank/internal/limit"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/peer"
+	"knapweedplank.org/plank/internal/poison"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/wire"
+)
+
+const (
+	modelService plank.ServiceID = "models"
+	plainService plank.ServiceID = "plain"
+)
+
+// A harness is a Server whose holder and endpoints are functions.
+type harness struct {
+	*front.Server
+	view   *view.Publisher
+	health *health.Table
+	// reserve returns the engine that is granted for the nth reservation, from 0.
+	reserve func(n int) plank.EndpointID
+	// send returns the answer of an endpoint.
+	send func(id plank.EndpointID) (*plank.Reply, error)
+
+	mu           sync.Mutex
+	reservations int
+	sent         []plank.EndpointID
+}
+
+// instance returns an endpoint of a service.
+func instance(id plank.EndpointID, service plank.ServiceID) plank.Instance {
+	return plank.Instance{ID: id, Service: service, Addr: "10.0.0.1:1", Domain: "d", Born: time.UnixMilli(1), Slots: 4}
+}
+
+// register replaces the registered endpoints.
+func (h *harness) register(instances ...plank.Instance) {
+	all := make(map[plank.EndpointID]plank.Instance)
+	for _, inst := range instances {
+		all[inst.ID] = inst
+	}
+	h.view.SetInstances(all)
+}
+
+// newHarness returns a server with two engines and two plain endpoints.
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	clock := plank.SystemClock{}
+	h := &harness{view: view.New(nil), health: health.New(clock)}
+	m := mesh.New(ctx, mesh.Self{VM: "vm", Boot: "boot", Domain: "d", Address: "10.0.0.9:1"}, mesh.PeerTransport(peer.New(nil, nil, log)), noState{}, clock, log)
+	route := func(name string, kind plank.RouteKind, service plank.ServiceID) plank.Route {
+		return plank.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 4 * time.Second, TargetLatency: 500 * time.Millisecond,
+			Split: []plank.ServiceShare{{Service: service, Weight: 1}}, MaxAttempts: 2, Public: true,
+		}
+	}
+	h.view.SetManifest(&plank.Manifest{
+		Version: 1, Routes: []plank.Route{route("ask", plank.Streaming, modelService), route("look", plank.Idempotent, plainService)},
+		Services: map[plank.ServiceID]plank.Service{
+			modelService: {ID: modelService, Pool: &plank.EnginePool{Slots: 4, KVCapacity: 100000, MaxAdapters: 4}},
+			plainService: {ID: plainService},
+		},
+	})
+	h.register(instance("e1", modelService), instance("e2", modelService), instance("p1", plainService), instance("p2", plainService))
+	for _, id := range []plank.EndpointID{"e1", "e2"} {
+		m.SetOwnEngine(id, &wire.EngineState{Endpoint: string(id), Born: 1})
+	}
+	h.reserve = func(int) plank.EndpointID { return "" }
+	h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
+	h.Server = front.New(front.Deps{
+		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
+		Chooser: &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock}, Budgets: front.NewBudgets(0.2, 10),
+		Health: h.health, Poison: poison.New(clock, nil), Parts: poison.NewPartTable(clock, func([]poison.Observation) {}, func(poison.Quarantine, bool) {}),
+		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} },
+		IsDown: func(plank.Instance) bool { return false }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
+	})
+	return h
+}
+
+// noState is the state of a VM that sends and receives nothing.
+type noState struct{}
+
+// Gossip implements mesh.LocalState.
+func (noState) Gossip(mesh.GossipOptions) (*wire.Gossip, mesh.Covered) {
+	return &wire.Gossip{NewsMicros: -1}, mesh.Covered{}
+}
+
+// Merge implements mesh.LocalState.
+func (noState) Merge(plank.VMID, plank.BootID, *wire.Gossip, time.Duration) {}
+
+// A grantedReservation is a reservation without a holder.
+type grantedReservation struct{}
+
+func (grantedReservation) Version() plank.VersionNumber { return 1 }
+func (grantedReservation) MarkStarted()                 {}
+func (grantedReservation) MarkAdapterMissing()          {}
+func (grantedReservation) MarkFailed(bool)              {}
+func (grantedReservation) Release()                     {}
+
+// Reserve implements front.Reserver.
+func (h *harness) Reserve(_ context.Context, _ mesh.Engine, inst plank.Instance, _ grant.Request) (plank.Instance, front.Reservation, error) {
+	h.mu.Lock()
+	n := h.reservations
+	h.reservations++
+	h.mu.Unlock()
+	if id := h.reserve(n); id != "" {
+		inst.ID = id
+	}
+	return inst, grantedReservation{}, nil
+}
+
+// ReserveAny implements front.Reserver.
+func (h *harness) ReserveAny(context.Context, string, front.AnyRequest) (plank.Instance, front.Reservation, error) {
+	return plank.Instance{}, nil, errors.New("not used")
+}
+
+// Send implements plank.Sender.
+func (h *harness) Send(_ context.Context, _ *plank.Call, d plank.Dispatch) (*plank.Reply, error) {
+	h.mu.Lock()
+	h.sent = append(h.sent, d.Instance.ID)
+	h.mu.Unlock()
+	return h.send(d.Instance.ID)
+}
+
+// stream returns a complete stream of one event.
+func stream() *plank.Reply {
+	return &plank.Reply{Head: plank.Head{Status: http.StatusOK, Header: http.Header{}}, Stamped: true, Body: io.NopCloser(bytes.NewBufferString("id: 1\ndata: x\n\n"))}
+}
+
+// refusal returns the answer of an endpoint that did not run a call.
+func refusal() *plank.Reply {
+	return &plank.Reply{Head: plank.Head{Status: http.StatusServiceUnavailable, Header: http.Header{}}, NotRun: true, Body: http.NoBody}
+}
+
+// An answer records what the caller received.
+type answer struct {
+	refusal *plank.RefusalError
+	status  int
+	aborted bool
+}
+
+func (a *answer) Respond(head plank.Head, _ []byte) error {
+	a.status = head.Status
+	return nil
+}
+
+func (a *answer) Begin(head plank.Head) error {
+	a.status = head.Status
+	return nil
+}
+
+func (a *answer) Append([]byte) error { return nil }
+
+func (a *answer) Refuse(r *plank.RefusalError) error {
+	a.refusal = r
+	return nil
+}
+
+func (a *answer) Abort() { a.aborted = true }
+
+var calls struct {
+	sync.Mutex
+	n int
+}
+
+// call sends a call on a route and returns the answer.
+func (h *harness) call(route string) *answer {
+	calls.Lock()
+	calls.n++
+	id := plank.RequestID(fmt.Sprint("call-", calls.n))
+	calls.Unlock()
+	a := new(answer)
+	h.Handle(context.Background(), &plank.Call{
+		ID: id, Method: http.MethodPost, Host: "h", Target: "/" + route + "/", Header: http.Header{}, Arrived: time.Now(),
+	}, a)
+	return a
+}
+
+// A call that had waited for its reservation was sent to an engine that had said meanwhile
+// that it leaves, if the holder that granted it did not know this, for example as it was cut
+// off from the store.
+func TestGrantedCallIsSentToAnEngineThatLeaves(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(h *harness)
+	}{
+		{"leaves", func(h *harness) {
+			leaving := instance("e1", modelService)
+			leaving.Leaving = true
+			h.register(leaving, instance("e2", modelService))
+		}},
+		{"is gone", func(h *harness) { h.register(instance("e2", modelService)) }},
+		{"another run has its id", func(h *harness) {
+			other := instance("e1", modelService)
+			other.Born = other.Born.Add(time.Second)
+			h.register(other, instance("e2", modelService))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.reserve = func(n int) plank.EndpointID {
+				if n > 0 {
+					return "e2"
+				}
+				test.change(h)
+				return "e1"
+			}
+			a := h.call("ask")
+			assert.Equal(t, a.status, http.StatusOK, "%v", a.refusal)
+			assert.DeepEqual(t, h.sent, []plank.EndpointID{"e2"})
+		})
+	}
+}
