An endpoint that says in an answer that it leaves gets no more calls

Until now only the store told that an endpoint leaves, so it got calls while the store was away, and again when an older registration came.

Change: platform decodes the field of each answer of calls and orders; the view keeps the run as leaving whatever its registration says; the state of VMs tells the others.

--- a/fleet.go
+++ b/fleet.go
@@ -40,6 +40,12 @@
 	Body io.ReadCloser
 }
 
+// A Notice is what an endpoint states about itself in the header of an answer.
+type Notice struct {
+	// Leaving is set when the endpoint is draining, as in Instance.
+	Leaving bool
+}
+
 // A SendError reports that a call got no usable answer.
 type SendError struct {
 	Endpoint EndpointID
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -54,6 +54,9 @@
 	Clock       plank.Clock
 	// OnDial, if not nil, is called after each new connection.
 	OnDial func()
+	// OnAnswer, if not nil, is called with the header of each answer that belongs to its
+	// request, before Do returns it.
+	OnAnswer func(key Key, status int, h http.Header)
 }
 
 // A Pool sends requests and keeps idle connections for reuse. It is safe for
@@ -138,6 +141,9 @@
 		c.Close()
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "read", Sent: true, Err: err}
 	}
+	if p.opts.OnAnswer != nil {
+		p.opts.OnAnswer(key, resp.StatusCode, resp.Header)
+	}
 	resp.Body = &body{ReadCloser: resp.Body, pool: p, key: key, conn: c, stopWatch: stop, written: written, header: resp.Header, reusable: !resp.Close && !stray}
 	return resp, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	n.state = &state{
 		wake:    func() { n.mesh.Wake() },
 		engines: make(map[plank.EndpointID]engineChange), suspects: make(map[plank.Fingerprint]suspectChange),
-		observations: make(map[poison.ObservationKey]observationChange),
+		observations: make(map[poison.ObservationKey]observationChange), leaving: make(map[plank.Run]uint64), log: n.log,
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
@@ -186,7 +186,18 @@
 		},
 	})
 	dialed := metrics.GetOrRegisterCounter("Endpoints.Dialed", n.registry)
-	n.pool = conns.New(conns.Options{DialTimeout: dialTimeout, Clock: n.clock, OnDial: func() { dialed.Inc(1) }})
+	n.pool = conns.New(conns.Options{DialTimeout: dialTimeout, Clock: n.clock, OnDial: func() { dialed.Inc(1) }, OnAnswer: n.handleNotice})
+}
+
+// handleNotice records what an endpoint states about itself in an answer.
+func (n *Node) handleNotice(key conns.Key, _ int, h http.Header) {
+	notice, err := platform.DecodeNotice(h)
+	if err != nil {
+		n.log.WithField("endpoint", key.Endpoint).WithError(err).Warn("node: ignored a field of an answer")
+	}
+	if notice.Leaving {
+		n.state.markLeaving(plank.Run{Endpoint: key.Endpoint, Born: key.Born}, "the endpoint")
+	}
 }
 
 // buildMesh creates the mesh, its transport and the fetcher, which exchange state and
@@ -372,6 +383,7 @@
 			instances.Expire()
 			n.state.expireObservations()
 			current := n.view.Load().Instances
+			n.state.forgetLeaving(current)
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
 		}
 	}()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/front"
 	"knapweedplank.org/plank/internal/limit"
@@ -44,6 +45,7 @@
 	table       *watch.Table
 	watchPolicy *watchPolicy
 	clock       plank.Clock
+	log         *logrus.Entry
 	fleetSize   func() int // returns the number of known VMs
 	fetcher     *watch.Fetcher
 
@@ -59,6 +61,9 @@
 	// observations holds the crash observations of prompt parts with the numbers of
 	// their last changes.
 	observations map[poison.ObservationKey]observationChange
+	// leaving holds the endpoints that said themselves that they leave, with the
+	// numbers of the changes.
+	leaving map[plank.Run]uint64
 }
 
 // An engineChange is the state of an engine with the number of its last change.
@@ -128,6 +133,11 @@
 			g.CrashObservations = append(g.CrashObservations, encodeObservation(c.observation, now))
 		}
 	}
+	for run, change := range s.leaving {
+		if change > opts.AfterChange {
+			g.LeavingEndpoints = append(g.LeavingEndpoints, &wire.Run{Endpoint: string(run.Endpoint), Born: run.Born})
+		}
+	}
 	return g, covered
 }
 
@@ -235,6 +245,9 @@
 			s.setSuspect(e) // VMs that the sender does not send to learn of it here
 		}
 	}
+	for _, x := range g.LeavingEndpoints {
+		s.markLeaving(plank.Run{Endpoint: plank.EndpointID(x.Endpoint), Born: x.Born}, string(vm))
+	}
 	if len(g.CrashObservations) > 0 {
 		now := s.clock.Now()
 		observations := make([]poison.Observation, 0, len(g.CrashObservations))
@@ -284,6 +297,24 @@
 	maps.DeleteFunc(s.observations, func(_ poison.ObservationKey, c observationChange) bool { return c.observation.IsExpired(now) })
 }
 
+// markLeaving records and publishes that an endpoint leaves, as source says.
+func (s *state) markLeaving(run plank.Run, source string) {
+	if !s.view.MarkLeaving(run) {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"endpoint": run.Endpoint, "born": run.Born, "source": source}).Info("node: an endpoint says that it leaves")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[run] = s.recordChange()
+}
+
+// forgetLeaving stops to publish the runs of endpoints that are no longer registered.
+func (s *state) forgetLeaving(registered map[plank.EndpointID]plank.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.leaving, func(run plank.Run, _ uint64) bool { return registered[run.Endpoint].Run() != run })
+}
+
 // setDuties publishes the domains whose duties this VM holds.
 func (s *state) setDuties(duties []*wire.Duty) {
 	s.mu.Lock()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -3,6 +3,7 @@
 package view
 
 import (
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,12 +69,18 @@
 
 	mu        sync.Mutex
 	onPublish func(*View)
+	// leaving holds the runs of endpoints that said themselves that they leave. It
+	// outlasts registrations, which may be older.
+	leaving map[plank.Run]bool
 }
 
+// maxLeaving bounds the runs that are kept although they are not registered.
+const maxLeaving = 1024
+
 // New returns a publisher with an empty view. onPublish, if not nil, is called
 // with each new view, in order of publication.
 func New(onPublish func(*View)) *Publisher {
-	p := &Publisher{onPublish: onPublish}
+	p := &Publisher{onPublish: onPublish, leaving: make(map[plank.Run]bool)}
 	p.current.Store(&View{})
 	return p
 }
@@ -98,11 +105,38 @@
 	return true
 }
 
-// SetInstances publishes the registered endpoints.
+// SetInstances publishes the registered endpoints. It takes over the map.
 func (p *Publisher) SetInstances(instances map[plank.EndpointID]plank.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.setInstances(instances)
+}
+
+// MarkLeaving records that a run of an endpoint leaves, whatever its registration says. It
+// reports whether this was not known yet.
+func (p *Publisher) MarkLeaving(run plank.Run) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving[run] {
+		return false
+	}
+	p.leaving[run] = true
+	p.setInstances(maps.Clone(p.current.Load().Instances))
+	return true
+}
+
+// setInstances publishes endpoints. The lock is held.
+func (p *Publisher) setInstances(instances map[plank.EndpointID]plank.Instance) {
 	next := *p.current.Load()
+	if len(p.leaving) > maxLeaving {
+		maps.DeleteFunc(p.leaving, func(run plank.Run, _ bool) bool { return instances[run.Endpoint].Run() != run })
+	}
+	for run := range p.leaving {
+		if inst, ok := instances[run.Endpoint]; ok && inst.Run() == run {
+			inst.Leaving = true
+			instances[run.Endpoint] = inst
+		}
+	}
 	next.Instances = instances
 	next.byService = make(map[plank.ServiceID][]plank.Instance)
 	for _, inst := range instances {
