An endpoint that asks for a pause gets no requests from the VM for so long

An endpoint that turned a request away with 503 and Retry-After was asked on as before; the field was not read.

Change: the pause is stored as the time of its end by run of the endpoint, in the table of endpoints' health; the choice of plain endpoints and engines, calls that were granted meanwhile, orders and status requests keep to it. Where all endpoints of a service pause the caller is refused at once, with a Retry-After spread over 0.3 s.

--- a/fleet.go
+++ b/fleet.go
@@ -44,6 +44,9 @@
 type Notice struct {
 	// Leaving is set when the endpoint is draining, as in Instance.
 	Leaving bool
+	// PausedUntil is the end of the time in which the endpoint wants no requests of this
+	// VM; zero if it states none.
+	PausedUntil time.Time
 }
 
 // A SendError reports that a call got no usable answer.
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -56,10 +56,29 @@
 }
 
 // isAvailable reports whether calls may be sent to an endpoint that was chosen or granted
-// some time ago: it is registered and does not leave.
+// some time ago: it is registered, does not leave and wants no pause.
 func (c *Chooser) isAvailable(inst plank.Instance) bool {
 	current, ok := c.View.Load().Instances[inst.ID]
-	return ok && current.Run() == inst.Run() && !current.Leaving
+	return ok && current.Run() == inst.Run() && !current.Leaving && !c.Health.IsPaused(inst.Run())
+}
+
+// pauseEnd returns the first time at which an endpoint of a service wants requests again. It
+// returns the zero time unless all that are registered and do not leave want none now.
+func (c *Chooser) pauseEnd(service plank.ServiceID) time.Time {
+	var first time.Time
+	for _, inst := range c.View.Load().Endpoints(service) {
+		if inst.Leaving {
+			continue
+		}
+		until := c.Health.PausedUntil(inst.Run())
+		if until.IsZero() {
+			return until
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
 }
 
 // A Choice is the engine selected for a call.
@@ -91,7 +110,7 @@
 	var states []mesh.Engine
 	var choice Choice
 	for _, inst := range v.Endpoints(service) {
-		if inst.Leaving {
+		if inst.Leaving || c.Health.IsPaused(inst.Run()) {
 			continue
 		}
 		state, alive := c.Mesh.Engine(inst.ID)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -53,9 +53,12 @@
 // serveModel serves a call on one of the service's model engines.
 func (s *Server) serveModel(ctx context.Context, j *job) callEnd {
 	s.deps.Budgets.Of(j.service).AddRequest()
+	p := &progress{lastID: j.call.LastEvent, order: sse.NewSequenceChecker(j.call.LastEvent)}
+	if !s.deps.Chooser.pauseEnd(j.service).IsZero() {
+		return s.answerUnserved(ctx, j, p, 0)
+	}
 	s.awaitHolder(ctx, j)
 	skip := make(map[plank.EndpointID]bool)
-	p := &progress{lastID: j.call.LastEvent, order: sse.NewSequenceChecker(j.call.LastEvent)}
 	retry := time.Duration(0)
 	for n := 0; n < maxReservations; n++ {
 		inst, res, err := s.reserve(ctx, j, skip)
@@ -72,7 +75,7 @@
 			return s.refuseQuarantined(j, p, refusal)
 		}
 		if !s.deps.Chooser.isAvailable(inst) {
-			j.log.WithField("endpoint", inst.ID).Info("front: the granted engine leaves or is gone")
+			j.log.WithField("endpoint", inst.ID).Info("front: the granted engine leaves, is gone or wants a pause")
 			res.Release()
 			skip[inst.ID] = true
 			continue
@@ -130,9 +133,7 @@
 	case j.mayHaveRun:
 		return s.refuse(j.w, j.log, s.failure(ctx))
 	}
-	r := plank.Refuse(plank.CodeNoEndpoint, "no engine of %s has room", j.service)
-	r.RetryAfter = max(retry, noCapacityRetry)
-	return s.refuse(j.w, j.log, r)
+	return s.refuse(j.w, j.log, s.noEndpoint(j, "no engine of %s has room", max(retry, noCapacityRetry)))
 }
 
 // refuseQuarantined ends a call one of whose prompt parts was quarantined while it waited
@@ -267,7 +268,7 @@
 		}
 	}
 	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
-		if s.deps.Health.IsAvoided(inst.ID) || s.deps.Health.FailRate(inst.ID) > maxFailRate {
+		if s.deps.Health.IsPaused(inst.Run()) || s.deps.Health.IsAvoided(inst.ID) || s.deps.Health.FailRate(inst.ID) > maxFailRate {
 			out = append(out, inst.ID)
 		}
 	}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -22,6 +22,9 @@
 	maxUnsent = 4
 	// noEndpointRetry is the Retry-After time if no endpoint accepted the call.
 	noEndpointRetry = 150 * time.Millisecond
+	// pauseSpread is the time over which callers return after all endpoints of a service
+	// wanted a pause.
+	pauseSpread = 300 * time.Millisecond
 )
 
 // A result is the outcome of one attempt.
@@ -108,7 +111,7 @@
 	})
 	var replicas []pick.Replica
 	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
-		if inst.Leaving {
+		if inst.Leaving || s.deps.Health.IsPaused(inst.Run()) {
 			continue
 		}
 		replicas = append(replicas, pick.Replica{
@@ -271,13 +274,30 @@
 		}
 		return callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case !j.mayHaveRun:
-		r := plank.Refuse(plank.CodeNoEndpoint, "no endpoint of %s took the call", j.service)
-		r.RetryAfter = noEndpointRetry
-		return s.refuse(j.w, j.log, r)
+		return s.refuse(j.w, j.log, s.noEndpoint(j, "no endpoint of %s took the call", noEndpointRetry))
 	}
 	return s.refuse(j.w, j.log, s.failure(ctx))
 }
 
+// noEndpoint returns the refusal of a call that did not run for lack of an endpoint. retry is
+// the time after which the caller may try again. If all endpoints want a pause, it is when the
+// first of them wants calls again, spread so that not all callers return at once, or 0 if the
+// call's deadline comes before.
+func (s *Server) noEndpoint(j *job, format string, retry time.Duration) *plank.RefusalError {
+	r := plank.Refuse(plank.CodeNoEndpoint, format, j.service)
+	r.RetryAfter = retry
+	if until := s.deps.Chooser.pauseEnd(j.service); !until.IsZero() {
+		spread := time.Duration(xxhash.Sum64String(string(j.call.ID)) % uint64(pauseSpread))
+		at := until.Add(spread)
+		r.Detail = "all endpoints of " + string(j.service) + " want no calls for now"
+		r.RetryAfter = max(retry, at.Sub(s.deps.Clock.Now()))
+		if at.After(j.deadline) {
+			r.RetryAfter = 0
+		}
+	}
+	return r
+}
+
 // failure returns the error answer to a call that may have run.
 func (s *Server) failure(ctx context.Context) *plank.RefusalError {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -234,3 +234,79 @@
 		})
 	}
 }
+
+// Endpoints that had refused a call and asked for a pause got the next calls all the same.
+func TestEndpointThatWantsAPauseGetsCalls(t *testing.T) {
+	for route, endpoints := range map[string][]plank.EndpointID{"ask": {"e1", "e2"}, "look": {"p1", "p2"}} {
+		t.Run(route, func(t *testing.T) {
+			h := newHarness(t)
+			var pausing plank.EndpointID
+			h.send = func(id plank.EndpointID) (*plank.Reply, error) {
+				if pausing != "" && id != pausing {
+					return stream(), nil
+				}
+				pausing = id
+				h.health.RecordPause(plank.Run{Endpoint: id, Born: 1}, time.Now().Add(200*time.Millisecond))
+				return refusal(), nil
+			}
+			for range 10 {
+				assert.Equal(t, h.call(route).status, http.StatusOK)
+			}
+			assert.Equal(t, len(h.sent), 11, "%v", h.sent)
+			time.Sleep(200 * time.Millisecond)
+			for _, id := range endpoints {
+				if id != pausing {
+					h.health.RecordPause(plank.Run{Endpoint: id, Born: 1}, time.Now().Add(time.Minute))
+				}
+			}
+			h.call(route)
+			assert.Equal(t, h.sent[len(h.sent)-1], pausing, "it gets calls again")
+		})
+	}
+}
+
+// A call whose engine asked for a pause after it was granted goes to another engine.
+func TestGrantedCallIsSentToAnEngineThatWantsAPause(t *testing.T) {
+	h := newHarness(t)
+	h.reserve = func(n int) plank.EndpointID {
+		if n > 0 {
+			return "e2"
+		}
+		h.health.RecordPause(plank.Run{Endpoint: "e1", Born: 1}, time.Now().Add(time.Minute))
+		return "e1"
+	}
+	assert.Equal(t, h.call("ask").status, http.StatusOK)
+	assert.DeepEqual(t, h.sent, []plank.EndpointID{"e2"})
+}
+
+// Where all endpoints want a pause, callers are refused at once and return when the first wants
+// calls again, not all at the same moment.
+func TestAllEndpointsWantAPause(t *testing.T) {
+	for _, test := range []struct {
+		route         string
+		first, second plank.EndpointID
+	}{{"ask", "e1", "e2"}, {"look", "p1", "p2"}} {
+		for _, pause := range []time.Duration{time.Second, time.Minute} {
+			h := newHarness(t)
+			until := time.Now().Add(pause)
+			h.health.RecordPause(plank.Run{Endpoint: test.first, Born: 1}, until.Add(time.Second))
+			h.health.RecordPause(plank.Run{Endpoint: test.second, Born: 1}, until)
+			moments := make(map[time.Duration]bool)
+			for range 20 {
+				begin := time.Now()
+				a := h.call(test.route)
+				assert.Assert(t, time.Since(begin) < 100*time.Millisecond)
+				assert.Equal(t, a.refusal.Ran, plank.NotRun)
+				back := time.Now().Add(a.refusal.RetryAfter)
+				if pause == time.Minute { // beyond the call's deadline
+					assert.Equal(t, a.refusal.RetryAfter, time.Duration(0))
+					continue
+				}
+				assert.Assert(t, !back.Before(until) && back.Before(until.Add(400*time.Millisecond)), "%v before the pause ends", until.Sub(back))
+				moments[back.Sub(until).Round(10*time.Millisecond)] = true
+			}
+			assert.Equal(t, len(h.sent), 0)
+			assert.Assert(t, pause == time.Minute || len(moments) > 5, "%v", moments)
+		}
+	}
+}
--- a/internal/grant/paused_test.go
+++ b/internal/grant/paused_test.go
@@ -45,7 +45,7 @@
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return nil }, RemoteColdLoads: func() int { return 0 },
 		Health: func(plank.EndpointID) (float64, bool) { return 0, false }, CountOrder: func(bool, string) {},
 		PublishColdLoads: func(int) {}, PublishState: func(plank.EndpointID, *wire.EngineState) {},
-		IsUnconfirmed: paused.Load, ReportFenced: func(plank.DomainID, plank.Term) {},
+		PausedUntil: func(plank.Run) time.Time { return time.Time{} }, IsUnconfirmed: paused.Load, ReportFenced: func(plank.DomainID, plank.Term) {},
 	})
 	inst := plank.Instance{ID: "e1", Service: "llm", Domain: "d", Born: time.UnixMilli(1)}
 	s.Sync([]grant.HeldEngine{{Instance: inst, Limits: grant.Limits{MaxRunning: 8, Memory: 1e6, MaxAdapters: 4, Base: "m"}, Term: 7}}, 1)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -49,6 +49,9 @@
 	// Health returns the fraction of an engine's recent calls that failed, and
 	// whether the engine should get no calls.
 	Health func(plank.EndpointID) (failRate float64, avoid bool)
+	// PausedUntil returns the time until which a run of an engine wants no requests of this
+	// VM, or the zero time. Meanwhile it gets no orders.
+	PausedUntil func(plank.Run) time.Time
 	// CountOrder is called with the result of each order.
 	CountOrder func(unload bool, result string)
 	// PublishColdLoads publishes to other VMs how many cold loads this VM has in
@@ -153,7 +156,7 @@
 		if e.coldOrder {
 			here = s.coldLoads()
 		}
-		if !e.busy {
+		if !e.busy && !s.isPaused(e, now) {
 			wait = min(wait, max(time.Millisecond, e.nextDue(now).Sub(now)))
 		}
 	}
@@ -201,13 +204,19 @@
 func (s *Scheduler) stepEngine(e *Engine, now time.Time, mayLoadCold func() bool) bool {
 	before := len(e.queue)
 	e.admitQueued(now)
-	a, ok := e.nextAction(now, mayLoadCold)
-	if ok {
-		s.execute(e, a)
+	if !s.isPaused(e, now) {
+		if a, ok := e.nextAction(now, mayLoadCold); ok {
+			s.execute(e, a)
+		}
 	}
 	return before != len(e.queue)
 }
 
+// isPaused reports whether an engine wants no requests of this VM now.
+func (s *Scheduler) isPaused(e *Engine, now time.Time) bool {
+	return s.deps.PausedUntil(e.inst.Run()).After(now)
+}
+
 // moveWaiting moves queued calls to engines that have capacity for them.
 func (s *Scheduler) moveWaiting(now time.Time, mayLoadCold bool) {
 	if !slices.ContainsFunc(s.sorted, func(e *Engine) bool { return len(e.queue) > 0 }) {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/health"
 )
 
@@ -48,3 +49,24 @@
 		})
 	}
 }
+
+func TestPauses(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1_800_000_000, 0)}
+	table := health.New(clock)
+	run, other := plank.Run{Endpoint: "e", Born: 1}, plank.Run{Endpoint: "e", Born: 2}
+	at := func(d time.Duration) time.Time { return time.Unix(1_800_000_000, 0).Add(d) }
+	assert.Assert(t, !table.IsPaused(run))
+	assert.Assert(t, table.RecordPause(run, at(3*time.Second)))
+	assert.Assert(t, !table.RecordPause(run, at(2*time.Second)), "a shorter pause")
+	assert.Equal(t, table.PausedUntil(run), at(3*time.Second))
+	assert.Assert(t, table.RecordPause(run, at(4*time.Second)), "a longer pause")
+	assert.Assert(t, !table.IsPaused(other), "another run has the id")
+	for _, step := range []struct {
+		at     time.Duration
+		paused bool
+	}{{3900 * time.Millisecond, true}, {4 * time.Second, false}} {
+		clock.now = at(step.at)
+		table.ExpirePauses()
+		assert.Equal(t, table.IsPaused(run), step.paused, "%v", step.at)
+	}
+}
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -35,6 +36,10 @@
 
 	mu      sync.Mutex
 	entries map[plank.EndpointID]*entry
+	pauses  map[plank.Run]time.Time // by run, the ends of pauses
+
+	// hasPauses is false only if pauses is empty, so that choices need no lock.
+	hasPauses atomic.Bool
 }
 
 type entry struct {
@@ -47,7 +52,7 @@
 
 // New returns an empty table.
 func New(clock plank.Clock) *Table {
-	return &Table{clock: clock, entries: make(map[plank.EndpointID]*entry)}
+	return &Table{clock: clock, entries: make(map[plank.EndpointID]*entry), pauses: make(map[plank.Run]time.Time)}
 }
 
 // entry returns the entry of an endpoint, with its counts decayed to now. The lock
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,13 +190,19 @@
 }
 
 // handleNotice records what an endpoint states about itself in an answer.
-func (n *Node) handleNotice(key conns.Key, _ int, h http.Header) {
-	notice, err := platform.DecodeNotice(h)
+func (n *Node) handleNotice(key conns.Key, status int, h http.Header) {
+	now := n.clock.Now()
+	notice, err := platform.DecodeNotice(status, h, now)
 	if err != nil {
 		n.log.WithField("endpoint", key.Endpoint).WithError(err).Warn("node: ignored a field of an answer")
 	}
+	run := plank.Run{Endpoint: key.Endpoint, Born: key.Born}
 	if notice.Leaving {
-		n.state.markLeaving(plank.Run{Endpoint: key.Endpoint, Born: key.Born}, "the endpoint")
+		n.state.markLeaving(run, "the endpoint")
+	}
+	if notice.PausedUntil.After(now) && n.health.RecordPause(run, notice.PausedUntil) {
+		n.log.WithFields(logrus.Fields{"endpoint": run.Endpoint, "born": run.Born, "pause_ms": notice.PausedUntil.Sub(now).Milliseconds()}).Info("node: an endpoint asks for a pause")
+		metrics.GetOrRegisterCounter("Endpoints.Pauses", n.registry).Inc(1)
 	}
 }
 
@@ -226,6 +232,7 @@
 		Self: n.settings.VM, Controller: platform.NewEngineController(n.pool), Evictor: place.LowestValue{}, Clock: n.clock, Log: n.log,
 		NewestVersion: n.newestVersion, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
+		PausedUntil:    n.health.PausedUntil,
 		InUseElsewhere: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		RecentAdapters: func(inst plank.Instance) []plank.AdapterRef {
 			var refs []plank.AdapterRef
@@ -384,6 +391,7 @@
 			n.state.expireObservations()
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
+			n.health.ExpirePauses()
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
 		}
 	}()
