--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -108,11 +108,11 @@
 
 // RecordCrash records that an endpoint crashed before the answer to a request with the
 // given parts began.
-func (t *PartTable) RecordCrash(c plank.Run, print plank.Fingerprint, parts []plank.PartID) {
+func (t *PartTable) RecordCrash(c plank.Run, fp plank.Fingerprint, parts []plank.PartID) {
 	t.update(func(now time.Time) []Observation {
 		var changed []Observation
 		for _, part := range parts {
-			if o, ok := t.merge(Observation{Part: part, Crash: c, Print: print, At: now}); ok {
+			if o, ok := t.merge(Observation{Part: part, Crash: c, Print: fp, At: now}); ok {
 				changed = append(changed, o)
 			}
 		}
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -99,8 +99,8 @@
 					requests++
 				}
 				for n, parts := range e.crash {
-					print := plank.Fingerprint(fmt.Sprint(requests, n))
-					vms[(i+n)%len(vms)].RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, print, parts)
+					fp := plank.Fingerprint(fmt.Sprint(requests, n))
+					vms[(i+n)%len(vms)].RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, fp, parts)
 				}
 				if len(e.begun) > 0 {
 					vms[i%len(vms)].RecordBegun(e.begun)
