front: log lines of a choice count the endpoints that leave or want a pause

Lines of a choice now have leaving and paused (only where there are some), a choice without any engine has a line, the gauge Endpoints.Leaving is new.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -90,15 +90,46 @@
 	// Expected is the expected time to the first token.
 	Expected   time.Duration
 	candidates int // number of engines considered
+	excluded   exclusions
+}
+
+// exclusions counts the endpoints of a service that a choice left out.
+type exclusions struct {
+	leaving, paused int
+}
+
+// add counts an endpoint if it leaves or wants a pause, and reports whether it does.
+func (x *exclusions) add(inst plank.Instance, h *health.Table) bool {
+	switch {
+	case inst.Leaving:
+		x.leaving++
+	case h.IsPaused(inst.Run()):
+		x.paused++
+	default:
+		return false
+	}
+	return true
+}
+
+// logTo adds the counts to the fields of a log line.
+func (x *exclusions) logTo(fields logrus.Fields) {
+	if x.leaving > 0 {
+		fields["leaving"] = x.leaving
+	}
+	if x.paused > 0 {
+		fields["paused"] = x.paused
+	}
 }
 
 // logFields returns the log fields of a choice.
 func (c *Choice) logFields() logrus.Fields {
 	e := &c.Engine
-	return logrus.Fields{
+	fields := logrus.Fields{
 		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
 		"lately": e.RecentlyResident, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.candidates,
 	}
+	c.excluded.logTo(fields)
+	return fields
 }
 
 // Choose returns the engine of a service with the least expected cost for call. It
@@ -110,7 +141,7 @@
 	var states []mesh.Engine
 	var choice Choice
 	for _, inst := range v.Endpoints(service) {
-		if inst.Leaving || c.Health.IsPaused(inst.Run()) {
+		if choice.excluded.add(inst, c.Health) {
 			continue
 		}
 		state, alive := c.Mesh.Engine(inst.ID)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -54,13 +54,13 @@
 func (s *Server) serveModel(ctx context.Context, j *job) callEnd {
 	s.deps.Budgets.Of(j.service).AddRequest()
 	p := &progress{lastID: j.call.LastEvent, order: sse.NewSequenceChecker(j.call.LastEvent)}
-	if !s.deps.Chooser.pauseEnd(j.service).IsZero() {
-		return s.answerUnserved(ctx, j, p, 0)
+	paused := func() bool { return !s.deps.Chooser.pauseEnd(j.service).IsZero() }
+	if !paused() {
+		s.awaitHolder(ctx, j)
 	}
-	s.awaitHolder(ctx, j)
 	skip := make(map[plank.EndpointID]bool)
 	retry := time.Duration(0)
-	for n := 0; n < maxReservations; n++ {
+	for n := 0; n < maxReservations && !paused(); n++ {
 		inst, res, err := s.reserve(ctx, j, skip)
 		if err != nil {
 			retry = err.RetryAfter
@@ -176,7 +176,11 @@
 		return s.reserveAny(ctx, j, call, r)
 	}
 	if !ok {
-		return plank.Instance{}, nil, noCapacity("no engine to ask", 0)
+		fields := logrus.Fields{"adapter": call.Adapter.String()}
+		choice.excluded.logTo(fields)
+		refusal := noCapacity("no engine to ask", 0)
+		j.log.WithFields(fields).WithError(refusal).Info("front: not reserved")
+		return plank.Instance{}, nil, refusal
 	}
 	if now.Add(choice.Expected).After(j.deadline.Add(-minServeTime)) {
 		return plank.Instance{}, nil, noCapacity("no engine in time", choice.Expected/2)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -110,8 +110,9 @@
 		}
 	})
 	var replicas []pick.Replica
+	var excluded exclusions
 	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
-		if inst.Leaving || s.deps.Health.IsPaused(inst.Run()) {
+		if excluded.add(inst, s.deps.Health) {
 			continue
 		}
 		replicas = append(replicas, pick.Replica{
@@ -127,9 +128,9 @@
 		return plank.Instance{}, false
 	}
 	r := replicas[i]
-	j.log.WithFields(logrus.Fields{
-		"endpoint": r.Instance.ID, "calls": r.Calls, "fail_rate": r.FailRate, "avoid": r.Avoid, "of": len(replicas),
-	}).Info("front: routed")
+	fields := logrus.Fields{"endpoint": r.Instance.ID, "calls": r.Calls, "fail_rate": r.FailRate, "avoid": r.Avoid, "of": len(replicas)}
+	excluded.logTo(fields)
+	j.log.WithFields(fields).Info("front: routed")
 	return r.Instance, true
 }
 
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -73,6 +73,7 @@
 			set("Manifest.Version", int64(v.Manifest.Version))
 		}
 		set("Endpoints.Registered", int64(len(v.Instances)))
+		set("Endpoints.Leaving", int64(v.CountLeaving()))
 		if last := n.watchPolicy.lastUpdate(); !last.IsZero() {
 			set("News.AgeMs", n.clock.Now().Sub(last).Milliseconds())
 		}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -62,6 +62,16 @@
 	return v.Manifest.Services[id].Pool
 }
 
+// CountLeaving returns the number of registered endpoints that leave.
+func (v *View) CountLeaving() (n int) {
+	for _, inst := range v.Instances {
+		if inst.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // A Publisher holds the current view and publishes new ones. Readers do not
 // block; writers are serialized.
 type Publisher struct {
