front: an unframed stream that ends at its head has been broken off

Callers saw: an engine that sent the head of such a stream and closed gave them an empty 200, framed as whole; where it was to continue a stream that had broken off, the stream ended as if it were complete.

Cause: the end of the connection is the end of such an answer, so no error told that it was cut.

Change: a stream without a length or chunks that ends before its first event has been broken off; it is tried elsewhere where it may be, or ends visibly. Not told apart: one that is closed just between two events.

--- a/fleet.go
+++ b/fleet.go
@@ -32,6 +32,9 @@
 	Stamped bool
 	// Encoded is set when the answer has a Content-Encoding.
 	Encoded bool
+	// Unframed is set when the answer has neither a length nor chunks, so that it ends with
+	// its connection.
+	Unframed bool
 	// Running and Waiting are the endpoint's numbers of requests and Slots is the
 	// number that it runs at once. They are valid if HasLoad is set.
 	HasLoad                 bool
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"io"
 	"time"
 
@@ -45,6 +46,9 @@
 	defer s.recordLongestPause(p)
 	for first := true; ; first = false {
 		ev, err := events.Next()
+		if err == io.EOF && first && reply.Unframed {
+			err = errNoEvent
+		}
 		if err == io.EOF {
 			return s.endStream(j, p, reply)
 		}
@@ -80,6 +84,10 @@
 	}
 }
 
+// errNoEvent reports a stream whose connection ended before the first event. Nothing tells that
+// it is complete.
+var errNoEvent = errors.New("the stream ended with its connection, without an event")
+
 // A gapError reports that a stream skipped an event.
 type gapError struct {
 	after, got string
