runner: an engine that asks for a pause gets nothing from its owner for so long

The table of pauses and the reading of the time (health.Pauses, health.ParsePause) are one copy for both; what the daemon does is unchanged. While an engine that answered 503 with Retry-After pauses, the runner refuses waiting and new requests as not run, with the time left, and asks for no reports; a crash of the engine is still looked for when a stream breaks. A restart of the engine meanwhile is learned with the first report afterwards.

TestEngineThatWantsAPauseGetsRequests fails with the pause ignored; TestPauseOfAnEngine.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/engine/openai"
+	"knapweedplank.org/plank/internal/health"
 )
 
 // streamEndTimeout bounds the wait for the end of a response body after the last
@@ -105,7 +106,14 @@
 	case resp.StatusCode < http.StatusInternalServerError:
 		return plank.Refuse(plank.CodeBadRequest, "%s", detail)
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		return plank.Refuse(plank.CodeNoEndpoint, "%s", detail)
+		refusal := plank.Refuse(plank.CodeNoEndpoint, "%s", detail)
+		if v := resp.Header.Get("Retry-After"); v != "" {
+			var err error
+			if refusal.RetryAfter, err = health.ParsePause(v); err != nil {
+				refusal.Detail += " (Retry-After: " + err.Error() + ")"
+			}
+		}
+		return refusal
 	}
 	return c.unavailable("generate", errors.New(detail))
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/engine"
 	"knapweedplank.org/plank/internal/engine/openai"
+	"knapweedplank.org/plank/internal/health"
 )
 
 // A fixedReply is a transport that answers every request with the same status and
@@ -21,6 +23,27 @@
 	body   string
 }
 
+// A pausingReply answers every request with 503 and a Retry-After field.
+type pausingReply struct {
+	retryAfter string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (r pausingReply) RoundTrip(*http.Request) (*http.Response, error) {
+	resp := &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Header: http.Header{}}
+	resp.Header.Set("Retry-After", r.retryAfter)
+	return resp, nil
+}
+
+func TestPauseOfAnEngine(t *testing.T) {
+	for value, want := range map[string]time.Duration{"1.5": 1500 * time.Millisecond, "0": 0, "soon": 0, "-2": 0, "1e9": health.MaxPause} {
+		_, err := engine.New("e", "host:1", pausingReply{value}, plank.Model.String).Generate(context.Background(), job(0), func(plank.Chunk) error { return nil })
+		var refusal *plank.RefusalError
+		assert.Assert(t, errors.As(err, &refusal) && refusal.Ran == plank.NotRun, "%v", err)
+		assert.Equal(t, refusal.RetryAfter, want, "%q", value)
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (r fixedReply) RoundTrip(*http.Request) (*http.Response, error) {
 	return &http.Response{StatusCode: r.status, Body: io.NopCloser(strings.NewReader(r.body)), Header: http.Header{}}, nil
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -5,7 +5,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -29,17 +28,14 @@
 	priorWeight = 2.0
 )
 
-// A Table holds the results of recent calls by endpoint. It is safe for
-// concurrent use.
+// A Table holds the results of recent calls by endpoint, and their pauses. It is safe
+// for concurrent use.
 type Table struct {
+	*Pauses
 	clock plank.Clock
 
 	mu      sync.Mutex
 	entries map[plank.EndpointID]*entry
-	pauses  map[plank.Run]time.Time // by run, the ends of pauses
-
-	// hasPauses is false only if pauses is empty, so that choices need no lock.
-	hasPauses atomic.Bool
 }
 
 type entry struct {
@@ -52,7 +48,7 @@
 
 // New returns an empty table.
 func New(clock plank.Clock) *Table {
-	return &Table{clock: clock, entries: make(map[plank.EndpointID]*entry), pauses: make(map[plank.Run]time.Time)}
+	return &Table{clock: clock, entries: make(map[plank.EndpointID]*entry), Pauses: NewPauses(clock)}
 }
 
 // entry returns the entry of an endpoint, with its counts decayed to now. The lock
--- a/internal/runner/health.go
+++ b/internal/runner/health.go
@@ -22,18 +22,17 @@
 	missed := 0
 	for ctx.Err() == nil {
 		requestedAt := r.deps.Clock.Now()
-		r.mu.Lock()
-		r.checkPause()
-		r.mu.Unlock()
-		report, err := r.deps.Engine.Report(ctx)
-		if err != nil {
-			missed++
-			if missed == maxMissedReports {
-				r.setDown()
+		if r.mayRequestReport() {
+			report, err := r.deps.Engine.Report(ctx)
+			if err != nil {
+				missed++
+				if missed == maxMissedReports {
+					r.setDown()
+				}
+			} else {
+				missed = 0
+				r.applyReport(report, requestedAt)
 			}
-		} else {
-			missed = 0
-			r.applyReport(report, requestedAt)
 		}
 		select {
 		case <-r.reportNow:
@@ -43,6 +42,14 @@
 	}
 }
 
+// mayRequestReport reports whether the engine may be asked for a report.
+func (r *Runner) mayRequestReport() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checkPause()
+	return !r.pauses.IsPaused(r.run())
+}
+
 // setDown marks the endpoint as down, refuses waiting requests and cancels running
 // ones.
 func (r *Runner) setDown() {
@@ -127,6 +134,7 @@
 // lock is held.
 func (r *Runner) handleRestart(report plank.EngineReport) {
 	r.deps.Log.WithFields(logrus.Fields{"endpoint": r.opts.Endpoint, "boot": report.Boot}).Warn("runner: engine restarted")
+	r.restarts++
 	now := r.deps.Clock.Now()
 	slots := make(map[plank.Model]*slot)
 	for _, m := range report.Resident {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/poison"
 )
 
@@ -115,7 +116,11 @@
 	reportedAt time.Time    // when the last report was requested
 	up         bool         // the engine answers requests for reports
 	leaving    bool         // the endpoint is draining and accepts no new requests
-	closing    bool         // this VM releases the endpoint
+	restarts   int64        // of the engine, as far as reports told
+	// pauses holds the end of the pause that the engine asked for. New requests are refused
+	// until then, and it gets no requests for reports.
+	pauses  *health.Pauses
+	closing bool // this VM releases the endpoint
 	// activeAt is when the runner last did anything. unconfirmed is set if the lease
 	// expired in a pause of the process, so that another VM may own the engine.
 	activeAt    time.Time
@@ -156,6 +161,7 @@
 	// resident on arrival, or zero if it is still to be loaded.
 	residentAt time.Time
 	decision   chan error // receives nil on dispatch, or else the refusal
+	run        plank.Run  // of the engine to which the request was dispatched
 	// slot is the slot that the running request uses. It does not change if the
 	// model is lost and loaded again meanwhile.
 	slot *slot
@@ -175,7 +181,7 @@
 		opts: opts, deps: deps, term: term, pinnedUntil: pinnedUntil,
 		slots: make(map[plank.Model]*slot), loadFailures: make(map[plank.Model]int),
 		queue: opts.Queue, lastOrder: deps.Clock.Now(), createdAt: deps.Clock.Now(), activeAt: deps.Clock.Now(), waiting: make(map[uint64]*request), running: make(map[uint64]*request),
-		idle: make(chan struct{}), wakeLoader: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), cancel: cancel,
+		pauses: health.NewPauses(deps.Clock), idle: make(chan struct{}), wakeLoader: make(chan struct{}, 1), reportNow: make(chan struct{}, 1), cancel: cancel,
 	}
 	r.goroutines.Add(2)
 	go func() {
@@ -219,6 +225,8 @@
 		return nil, plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is leaving", r.opts.Endpoint)
 	case !r.up:
 		return nil, plank.Refuse(plank.CodeNoEndpoint, "endpoint %s is down", r.opts.Endpoint)
+	case r.pauses.IsPaused(r.run()):
+		return nil, r.pauseRefusal()
 	}
 	r.lastHandle++
 	req := &request{handle: r.lastHandle, job: job, arrivedAt: r.deps.Clock.Now(), decision: make(chan error, 1), stop: stop}
@@ -300,6 +308,30 @@
 	}
 }
 
+// run returns the engine's current run. The lock is held.
+func (r *Runner) run() plank.Run { return plank.Run{Endpoint: r.opts.Endpoint, Born: r.restarts} }
+
+// startPause refuses waiting and new requests until the end of the pause that the engine
+// asked for as it refused req.
+func (r *Runner) startPause(req *request, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.pauses.RecordPause(req.run, until) || req.run != r.run() {
+		return
+	}
+	r.deps.Log.WithFields(logrus.Fields{
+		"endpoint": r.opts.Endpoint, "request": req.job.ID, "pause_ms": until.Sub(r.deps.Clock.Now()).Milliseconds(),
+	}).Info("runner: the engine asks for a pause, waiting requests are refused")
+	r.refuseWaiting(r.pauseRefusal())
+}
+
+// pauseRefusal returns the refusal of a request during a pause. The lock is held.
+func (r *Runner) pauseRefusal() *plank.RefusalError {
+	refusal := plank.Refuse(plank.CodeNoEndpoint, "endpoint %s wants no requests for now", r.opts.Endpoint)
+	refusal.RetryAfter = r.pauses.PausedUntil(r.run()).Sub(r.deps.Clock.Now())
+	return refusal
+}
+
 // SetLeaving sets whether the endpoint is draining. A draining endpoint accepts
 // no new requests, and those that wait are refused.
 func (r *Runner) SetLeaving(leaving bool) {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -35,6 +35,10 @@
 	// refuse holds the requests that are refused for a missing adapter, each once its
 	// channel is closed.
 	refuse map[plank.RequestID]chan struct{}
+	// pauses holds the requests that are refused with a time for which the engine wants no
+	// requests.
+	pauses  map[plank.RequestID]time.Duration
+	reports int // requests for reports
 	// answerLoads, if not nil, delays the answers to loads until it is closed.
 	answerLoads chan struct{}
 	// endDelay is how long a cancelled request remains in use.
@@ -59,6 +63,13 @@
 		<-refused
 		return nil, plank.Refuse(plank.CodeNoModel, "not resident")
 	}
+	if pause := e.pauses[job.ID]; pause > 0 {
+		e.started = append(e.started, job.ID)
+		e.mu.Unlock()
+		refusal := plank.Refuse(plank.CodeNoEndpoint, "busy")
+		refusal.RetryAfter = pause
+		return nil, refusal
+	}
 	if _, ok := e.inUse[job.Model]; !ok {
 		e.t.Errorf("request %s dispatched while its adapter was not resident", job.ID)
 	}
@@ -124,6 +135,7 @@
 func (e *fakeEngine) Report(context.Context) (plank.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports++
 	r := e.report
 	for m := range e.inUse {
 		r.Resident = append(r.Resident, m)
@@ -131,6 +143,13 @@
 	return r, nil
 }
 
+// countReports returns the number of requests for reports.
+func (e *fakeEngine) countReports() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports
+}
+
 func (e *fakeEngine) finish(id plank.RequestID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -239,6 +258,43 @@
 	assert.Equal(t, started, 4)
 }
 
+// An engine that had refused a request and asked for a pause got the requests that waited, new
+// ones and requests for reports.
+func TestEngineThatWantsAPauseGetsRequests(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	e := newFakeEngine(t, model(1))
+	e.pauses = map[plank.RequestID]time.Duration{"refused": pause}
+	r := newRunner(t, e, queue.NewFIFO(), time.Now().Add(time.Minute), time.Time{})
+	for i := range 4 {
+		submit(r, fmt.Sprint("running", i), model(1), false)
+	}
+	started := func() int {
+		_, n := e.counts()
+		return n
+	}
+	waitFor(t, "running", func() bool { return started() == 4 })
+	refused := submit(r, "refused", model(1), false)
+	waitFor(t, "queued", func() bool { return r.Status().Outstanding == 5 })
+	waiting := submit(r, "waiting", model(1), false)
+	waitFor(t, "queued", func() bool { return r.Status().Outstanding == 6 })
+	begin := time.Now()
+	e.finish("running0")
+	var refusal *plank.RefusalError
+	assert.Assert(t, errors.As(<-refused, &refusal))
+	reports := e.countReports()
+	for _, done := range []chan error{waiting, submit(r, "late", model(1), false)} {
+		assert.Assert(t, errors.As(<-done, &refusal))
+		assert.Assert(t, refusal.Ran == plank.NotRun && refusal.RetryAfter > 0 && refusal.RetryAfter <= pause, "%+v", refusal)
+	}
+	assert.Assert(t, time.Since(begin) < pause/2)
+	time.Sleep(time.Until(begin.Add(pause - 100*time.Millisecond)))
+	assert.Equal(t, started(), 5)
+	assert.Assert(t, e.countReports() <= reports+1, "the engine was asked for %d reports", e.countReports()-reports)
+	time.Sleep(time.Until(begin.Add(pause + 100*time.Millisecond)))
+	submit(r, "afterwards", model(1), false)
+	waitFor(t, "served again", func() bool { return started() == 6 })
+}
+
 // TestNoEvictionNearEndOfLease checks that no eviction is ordered shortly before the
 // lease expires, since it might still be carried out under the next owner. Loads
 // into free slots continue.
--- a/internal/runner/sched.go
+++ b/internal/runner/sched.go
@@ -60,7 +60,7 @@
 	}
 	s := r.slots[req.job.Model]
 	s.inUse++
-	req.slot = s
+	req.slot, req.run = s, r.run()
 	s.uses = decayedUses(s, now) + 1
 	s.lastUse = now
 	req.decision <- nil
--- a/internal/runner/submit.go
+++ b/internal/runner/submit.go
@@ -60,6 +60,9 @@
 	if errors.As(err, &refused) && refused.Code == plank.CodeNoModel {
 		r.dropSlot(req)
 	}
+	if refused != nil && refused.RetryAfter > 0 {
+		r.startPause(req, r.deps.Clock.Now().Add(refused.RetryAfter))
+	}
 	if err == nil && wait != nil {
 		// The answer is complete, but the adapter is in use until wait returns.
 		detached = true
