watch: an endpoint that left in an outage is gone two seconds after the store's return

Cause: a registration that is missing after an outage is kept for a while, since endpoints register again within about two seconds of the store's return. So an endpoint that had left was kept beyond the three seconds after which a VM that was cut off is in touch again.

Change: the time counts from when the answered list was asked for, and is 2 s; it is looked at every 100 ms. TestEndpointThatLeftInAnOutageIsKeptBeyondItsBound: removed 3.2 s after the return before, now within 2.4 s.

Weighed: to believe peers that it is gone. They say so of all endpoints of the zone, also of those that live. Remains: a VM that asks the store over a second after its return, as those do that rely on peers, is later by so much.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -385,9 +385,9 @@
 	go func() { n.mesh.Register(ctx, n.store) }()
 	go func() { n.duties.run(ctx) }()
 	go func() { n.observeDelay(ctx) }()
+	go func() { instances.Run(ctx) }()
 	go func() {
 		for pause.For(ctx, sweepInterval) {
-			instances.Expire()
 			n.state.expireObservations()
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"maps"
 	"strings"
 	"sync"
@@ -8,12 +9,17 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/view"
 )
 
-// outageGrace is how long registrations that lapsed while the store was unavailable
-// may be missing afterwards: endpoints register again within about 2 s.
-const outageGrace = 2300 * time.Millisecond
+const (
+	// outageGrace is how long registrations that lapsed while the store was unavailable
+	// may be missing afterwards: endpoints register again within about 2 s.
+	outageGrace = 2 * time.Second
+	// expireInterval is the interval at which Run looks for registrations to remove.
+	expireInterval = 100 * time.Millisecond
+)
 
 // A ManifestSink publishes the configuration.
 type ManifestSink struct {
@@ -123,8 +129,8 @@
 func (s *InstanceSink) Apply(b Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.AfterOutage {
-		s.graceUntil = s.clock.Now().Add(outageGrace)
+	if !b.OutageEnd.IsZero() {
+		s.graceUntil = b.OutageEnd.Add(outageGrace)
 	}
 	for _, c := range b.Changes {
 		if c.Object.Version == 0 {
@@ -155,6 +161,13 @@
 	return a.Service == b.Service && a.Addr == b.Addr && a.Domain == b.Domain && a.Born.Equal(b.Born) && a.Slots == b.Slots && a.Leaving == b.Leaving
 }
 
+// Run calls Expire at intervals until ctx ends.
+func (s *InstanceSink) Run(ctx context.Context) {
+	for pause.For(ctx, expireInterval) {
+		s.Expire()
+	}
+}
+
 // Expire removes the missing registrations whose grace period has passed.
 func (s *InstanceSink) Expire() {
 	s.mu.Lock()
--- a/internal/watch/table.go
+++ b/internal/watch/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"knapweedplank.org/plank"
 )
@@ -17,9 +18,9 @@
 	Changes []plank.Change
 	// Source is SourceStore or the name of the peer that sent the changes.
 	Source string
-	// AfterOutage is set for a list after the store was unavailable or its history
-	// had been truncated.
-	AfterOutage bool
+	// OutageEnd is set for a list after the store was unavailable or its history had been
+	// truncated: the store was available again at this time at the latest.
+	OutageEnd time.Time
 }
 
 // A Sink receives the changes of the objects of one prefix, in order. It reports which
@@ -56,8 +57,8 @@
 }
 
 // ApplyList applies a list of all objects of a prefix as of a revision. Known objects
-// that it lacks are deleted.
-func (t *Table) ApplyList(prefix string, objects []plank.Object, rev plank.Revision, afterOutage bool) {
+// that it lacks are deleted. outageEnd is as in Batch.
+func (t *Table) ApplyList(prefix string, objects []plank.Object, rev plank.Revision, outageEnd time.Time) {
 	changes := make([]plank.Change, 0, len(objects))
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
@@ -72,7 +73,7 @@
 			changes = append(changes, plank.Change{Object: plank.Object{Key: key}, Revision: rev})
 		}
 	}
-	t.apply(prefix, Batch{Changes: changes, Source: SourceStore, AfterOutage: afterOutage})
+	t.apply(prefix, Batch{Changes: changes, Source: SourceStore, OutageEnd: outageEnd})
 }
 
 // Apply applies changes of a prefix from the store.
@@ -114,7 +115,7 @@
 		t.objects[c.Object.Key] = c
 		newer = append(newer, c)
 	}
-	if len(newer) > 0 || b.AfterOutage {
+	if len(newer) > 0 || !b.OutageEnd.IsZero() {
 		b.Changes = newer
 		sink.Apply(b)
 	}
--- a/internal/watch/table_test.go
+++ b/internal/watch/table_test.go
@@ -90,7 +90,7 @@
 	f.table.ApplyFromPeer("peer", change("servers/e1", 7, worker))
 	f.table.Apply("servers/", []plank.Change{change("servers/e1", 5, worker)})
 	assert.Assert(t, !f.has("e1"))
-	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 12, worker)}, 12, false)
+	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 12, worker)}, 12, time.Time{})
 	assert.Assert(t, f.has("e1"))
 }
 
@@ -99,7 +99,7 @@
 	f := newFixture()
 	f.table.ApplyFromPeer("peer", change("config/main", 20, plank.Manifest{Version: 7}))
 	f.table.Apply("config/", []plank.Change{change("config/main", 18, plank.Manifest{Version: 6})})
-	f.table.ApplyList("config/", []plank.Object{object("config/main", 25, plank.Manifest{Version: 5})}, 25, true)
+	f.table.ApplyList("config/", []plank.Object{object("config/main", 25, plank.Manifest{Version: 5})}, 25, f.clock.now)
 	assert.Equal(t, f.view.Load().Manifest.Version, plank.ManifestVersion(7))
 }
 
@@ -108,9 +108,9 @@
 func TestGraceAfterAnOutage(t *testing.T) {
 	f := newFixture()
 	worker := plank.Instance{Service: "s", Addr: "a:1"}
-	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 3, worker), object("servers/e2", 4, worker)}, 5, false)
+	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 3, worker), object("servers/e2", 4, worker)}, 5, time.Time{})
 	f.changed = nil
-	f.table.ApplyList("servers/", nil, 9, true)
+	f.table.ApplyList("servers/", nil, 9, f.clock.now)
 	assert.Assert(t, f.has("e1") && f.has("e2"))
 	f.clock.now = f.clock.now.Add(time.Second)
 	f.table.Apply("servers/", []plank.Change{change("servers/e2", 11, worker)})
@@ -123,8 +123,8 @@
 // Without an outage a registration that ends is removed at once.
 func TestRemovedAtOnceWithoutOutage(t *testing.T) {
 	f := newFixture()
-	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 3, plank.Instance{Service: "s"})}, 5, false)
-	f.table.ApplyList("servers/", nil, 9, false)
+	f.table.ApplyList("servers/", []plank.Object{object("servers/e1", 3, plank.Instance{Service: "s"})}, 5, time.Time{})
+	f.table.ApplyList("servers/", nil, 9, time.Time{})
 	assert.Assert(t, !f.has("e1"))
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -74,16 +74,19 @@
 func (w *Watcher) run(ctx context.Context) {
 	afterOutage := false
 	for w.opts.AwaitActive(ctx) {
+		requestedAt := w.opts.Clock.Now()
 		objects, rev, err := w.opts.Store.List(ctx, w.opts.Prefix, "")
 		if err != nil {
 			w.handleError(ctx, "list", err, !afterOutage)
 			afterOutage = true
 			continue
 		}
+		var outageEnd time.Time
 		if afterOutage {
+			outageEnd = requestedAt
 			w.opts.Log.WithField("prefix", w.opts.Prefix).Info("watch: the store answers again")
 		}
-		w.opts.Table.ApplyList(w.opts.Prefix, objects, rev, afterOutage)
+		w.opts.Table.ApplyList(w.opts.Prefix, objects, rev, outageEnd)
 		w.recordResponse()
 		afterOutage = w.follow(ctx, rev)
 	}
--- /dev/null
+++ b/internal/watch/watcher_test.go
@@ -0,0 +1,92 @@
+package watch_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
+	"knapweedplank.org/plank/internal/store/memory"
+	"knapweedplank.org/plank/internal/view"
+	"knapweedplank.org/plank/internal/watch"
+)
+
+// A slowStore is a store that may be unavailable, and answers lists after a delay.
+type slowStore struct {
+	*memory.Store
+	unavailable atomic.Bool
+	empty       atomic.Bool // all objects were deleted
+	delay       time.Duration
+}
+
+// List implements plank.Store.
+func (s *slowStore) List(ctx context.Context, prefix, after string) ([]plank.Object, plank.Revision, error) {
+	if s.unavailable.Load() {
+		return nil, 0, errors.New("away")
+	}
+	objects, rev, err := s.Store.List(ctx, prefix, after)
+	pause.For(ctx, s.delay)
+	if s.empty.Load() {
+		return nil, rev + 1, err
+	}
+	return objects, rev, err
+}
+
+// Watch implements plank.Store.
+func (s *slowStore) Watch(ctx context.Context, _ []string, after plank.Revision) ([]plank.Change, plank.Revision, error) {
+	if s.unavailable.Load() {
+		return nil, 0, errors.New("away")
+	}
+	pause.For(ctx, 20*time.Millisecond)
+	return nil, after, nil
+}
+
+// An endpoint that left while a VM was cut off from the store was kept, and got calls, later than
+// three seconds after the VM reached the store again.
+func TestEndpointThatLeftInAnOutageIsKeptBeyondItsBound(t *testing.T) {
+	const (
+		registerTime = 2 * time.Second // in which endpoints that live register again
+		slack        = 400 * time.Millisecond
+	)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := plank.SystemClock{}
+	store := &slowStore{Store: memory.New(), delay: 600 * time.Millisecond}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	v := view.New(nil)
+	table := watch.NewTable(func(string) {})
+	instances := watch.NewInstanceSink("servers/", decoder{}, v, func(string) {}, clock, log.WithField("t", 1))
+	table.AddSink("servers/", instances)
+	go func() { instances.Run(ctx) }()
+	_, err := store.Put(ctx, "servers/e1", object("", 0, plank.Instance{Service: "s", Addr: "a:1"}).Value, 0)
+	assert.NilError(t, err)
+	w := watch.New(ctx, watch.Options{
+		Store: store, Prefix: "servers/", Table: table, BatchDelay: func() time.Duration { return 0 },
+		Active: func() bool { return true }, AwaitActive: func(ctx context.Context) bool { return ctx.Err() == nil },
+		RetryDelay: func(int) time.Duration { return 20 * time.Millisecond }, Clock: clock, Log: log.WithField("t", 1),
+	})
+	registered := func() bool { return len(v.Load().Instances) == 1 }
+	await := func(what string, ok func() bool) time.Time {
+		for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(deadline), "not %s", what)
+		}
+		return time.Now()
+	}
+	await("registered", registered)
+	store.unavailable.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	store.empty.Store(true)
+	back := time.Now()
+	store.unavailable.Store(false)
+	listed := await("listed", func() bool { return w.LastResponse().After(back) })
+	assert.Assert(t, registered(), "removed %v after the return of the store", listed.Sub(back))
+	kept := await("removed", func() bool { return !registered() }).Sub(back)
+	assert.Assert(t, kept > registerTime-slack && kept < registerTime+slack, "removed %v after the return of the store", kept)
+}
