--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -308,7 +308,7 @@
 	s.leaving[run] = s.recordChange()
 }
 
-// forgetLeaving stops to publish the runs of endpoints that are no longer registered.
+// forgetLeaving stops publishing the runs of endpoints that are no longer registered.
 func (s *state) forgetLeaving(registered map[plank.EndpointID]plank.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
