front: the first event of an answer does not clear the parts of its prompt

Callers would see: a part with which engines still send an event before they crash is never found; engine after engine is lost, and requests beside it with them.

Cause: a first event cleared all observations of a part.

Change: an answer counts as begun for the parts once it has gone on for 100 ms after its first event, or has ended whole; by attempt, so that a continuation that crashes its engine counts too. The table by fingerprint of the whole request is as before.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -344,10 +344,9 @@
 	a.result = s.classify(j, &a)
 	switch {
 	case a.result == served && isStream:
-		a.result, a.err = s.relay(j, p, a.reply, func() {
+		a.result, a.err = s.relay(j, p, &a, func() {
 			stallTimer.Stop()
 			res.MarkStarted()
-			s.deps.Parts.RecordBegun(j.call.Parts)
 		})
 		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case (a.result == served || a.result == failed) && p.begun:
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -46,6 +46,11 @@
 	reply  *plank.Reply
 	body   []byte
 	err    error
+	// firstEventAt is when the first event of the attempt's stream arrived; zero before.
+	firstEventAt time.Time
+	// begun is set once the stream has gone on for beginTime, or the answer has ended
+	// whole: the prompt does not crash an endpoint that begins to answer it.
+	begun bool
 	// healthRecorded is set if the failure of this attempt was already recorded
 	// in the health table.
 	healthRecorded bool
@@ -155,7 +160,7 @@
 	}
 	a.result = s.classify(j, &a)
 	if a.result == served {
-		s.deps.Parts.RecordBegun(j.call.Parts)
+		s.recordBegun(j, &a)
 	}
 	s.recordHealth(j, &a)
 	return a
@@ -233,7 +238,7 @@
 		log = log.WithFields(logrus.Fields{"status": a.reply.Status, "avoided": s.recordFailure(a)})
 	case broken:
 		log = log.WithField("avoided", s.recordFailure(a))
-		s.checkCrash(j, a.inst)
+		s.checkCrash(j, a)
 	}
 	if a.err != nil {
 		log = log.WithError(a.err)
@@ -241,21 +246,32 @@
 	log.WithField("result", a.result.String()).Info("front: attempt failed")
 }
 
-// checkCrash checks in the background whether the endpoint crashed while it ran
-// the call, and records the crash against the request if its answer had not begun.
-func (s *Server) checkCrash(j *job, inst plank.Instance) {
+// recordBegun records that the answer of an attempt has begun.
+func (s *Server) recordBegun(j *job, a *attempt) {
+	if !a.begun {
+		a.begun = true
+		s.deps.Parts.RecordBegun(j.call.Parts)
+	}
+}
+
+// checkCrash checks in the background whether the endpoint crashed while it ran the
+// attempt. It records the crash against the request if there was no event yet, and against
+// the parts of its prompt if the answer had not begun.
+func (s *Server) checkCrash(j *job, a *attempt) {
 	if s.deps.Clock.Now().After(j.deadline) {
 		return // the attempt ended at the deadline
 	}
-	begun := !j.firstEventAt.IsZero()
+	inst, begun, hasEvent := a.inst, a.begun, !j.firstEventAt.IsZero()
 	go func() {
 		if s.deps.IsDown(inst) {
 			j.log.WithFields(logrus.Fields{
 				"endpoint": inst.ID, "born": inst.Born.UnixMilli(), "parts": j.call.Parts, "begun": begun,
 			}).Info("front: the endpoint crashed during the call")
 			s.deps.Health.RecordUnreachable(inst.ID)
-			if !begun {
+			if !hasEvent {
 				s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint}, false)
+			}
+			if !begun {
 				s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
 			}
 		}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -39,18 +39,25 @@
 	}
 }
 
-// relay forwards events until the stream ends. It calls onFirstEvent at the first
-// one.
-func (s *Server) relay(j *job, p *progress, reply *plank.Reply, onFirstEvent func()) (result, error) {
-	events := sse.New(reply.Body)
+// beginTime is how long after its first event a stream must go on to count as begun: an engine
+// that crashes as it begins to answer may have sent an event before.
+const beginTime = 100 * time.Millisecond
+
+// relay forwards the events of an attempt until its stream ends. It calls onFirstEvent at
+// the first one.
+func (s *Server) relay(j *job, p *progress, a *attempt, onFirstEvent func()) (result, error) {
+	events := sse.New(a.reply.Body)
 	defer s.recordLongestPause(p)
-	for first := true; ; first = false {
+	for {
 		ev, err := events.Next()
-		if err == io.EOF && first && reply.Unframed {
+		now := s.deps.Clock.Now()
+		first := a.firstEventAt.IsZero()
+		if err == io.EOF && first && a.reply.Unframed {
 			err = errNoEvent
 		}
 		if err == io.EOF {
-			return s.endStream(j, p, reply)
+			s.recordBegun(j, a)
+			return s.endStream(j, p, a.reply)
 		}
 		if err != nil {
 			if j.callerLeft() {
@@ -59,7 +66,10 @@
 			return broken, err
 		}
 		if first {
+			a.firstEventAt = now
 			onFirstEvent()
+		} else if now.Sub(a.firstEventAt) >= beginTime {
+			s.recordBegun(j, a)
 		}
 		switch p.order.Check(ev.ID) {
 		case sse.Duplicate:
@@ -69,12 +79,12 @@
 		}
 		if !p.begun {
 			p.begun = true
-			j.firstEventAt = s.deps.Clock.Now()
-			if err := j.w.Begin(reply.Head); err != nil {
+			j.firstEventAt = now
+			if err := j.w.Begin(a.reply.Head); err != nil {
 				return abandoned, err
 			}
 		}
-		p.recordPause(s.deps.Clock.Now())
+		p.recordPause(now)
 		if err := j.w.Append(ev.Data); err != nil {
 			return abandoned, err
 		}
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -62,7 +62,8 @@
 
 // A PartTable finds the prompt parts that crash endpoints: a part that crashes each
 // endpoint that begins to answer a request with it is present in each of these crashes,
-// and no answer with it ever begins. It is safe for concurrent use.
+// and no answer with it goes on. An answer counts as begun here once it has gone on for a
+// while after its first event. It is safe for concurrent use.
 type PartTable struct {
 	clock plank.Clock
 	// onChange is called, without the table's lock, with the observations that are new
