--- a/internal/node/slowlinks_test.go
+++ b/internal/node/slowlinks_test.go
@@ -34,18 +34,18 @@
 	mu            sync.Mutex
 	sendLimits    map[string]*rate.Limiter
 	receiveLimits map[string]*rate.Limiter
-	// storeless holds the VMs that are cut off from the store, and storeConns the
+	// storeless holds the number of cuts of VMs from the store, and storeConns the
 	// connections of the other VMs to it.
-	storeless  map[string]bool
+	storeless  map[string]int
 	storeConns map[net.Conn]string
-	// frozen holds the VMs whose links carry nothing.
-	frozen map[string]bool
+	// frozen holds the number of faults by which the links of VMs carry nothing.
+	frozen map[string]int
 }
 
 func newLinks() *links {
 	return &links{
-		sendLimits: make(map[string]*rate.Limiter), receiveLimits: make(map[string]*rate.Limiter), storeless: make(map[string]bool), storeConns: make(map[net.Conn]string),
-		frozen: make(map[string]bool),
+		sendLimits: make(map[string]*rate.Limiter), receiveLimits: make(map[string]*rate.Limiter), storeless: make(map[string]int), storeConns: make(map[net.Conn]string),
+		frozen: make(map[string]int),
 	}
 }
 
@@ -53,21 +53,28 @@
 func (l *links) freeze(vm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.frozen[vm] = true
+	l.frozen[vm]++
+}
+
+// thaw undoes one freeze.
+func (l *links) thaw(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen[vm]--
 }
 
 // isFrozen reports whether the link of any of the VMs is frozen.
 func (l *links) isFrozen(vms ...string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.ContainsFunc(vms, func(vm string) bool { return l.frozen[vm] })
+	return slices.ContainsFunc(vms, func(vm string) bool { return l.frozen[vm] > 0 })
 }
 
 // cutStore cuts a VM off from the store.
 func (l *links) cutStore(vm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.storeless[vm] = true
+	l.storeless[vm]++
 	for c, owner := range l.storeConns {
 		if owner == vm {
 			c.Close()
@@ -75,13 +82,20 @@
 	}
 }
 
+// healStore undoes one cutStore.
+func (l *links) healStore(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storeless[vm]--
+}
+
 // addStoreConn registers a connection to the store. It reports false if the VM is cut
 // off from it.
 func (l *links) addStoreConn(vm string, c net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.storeConns[c] = vm
-	return !l.storeless[vm]
+	return l.storeless[vm] == 0
 }
 
 // limiter returns the limiter of one direction of the link of the VM with an IP
