grant: calls do not wait at an engine that wants no orders of its holder

Callers would see: an engine asks the holder of its domain for a pause, for 10 s say; calls of all VMs whose adapter was to be loaded there waited until their deadline, and were refused then.

Cause: only the sending of orders looked at the pause. An engine in a pause still counted as one with free slots, for its own queue and for calls that move.

Change: calls that need an order move to engines with room; where there is none they are refused at once if the pause outlasts them, and the caller's VM asks another engine. Calls whose adapter is resident are granted as before. An engine in a pause accepts no moved calls that need a load. The look at the pause moves from the scheduler to the engine.

Not told to other VMs: these may still choose such an engine, and are moved or refused by its holder.

TestCallsWaitAtAnEngineThatWantsNoOrders: before, no call moved or was refused within 0.5 s (the third case failed as orders were held back by the scheduler, which it does not use).

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -164,6 +164,9 @@
 	// health returns the fraction of the engine's recent calls that failed, and
 	// whether the engine should get no calls.
 	health func(plank.EndpointID) (failRate float64, avoid bool)
+	// pausedUntil returns the time until which a run of an engine wants no requests of this
+	// VM, or the zero time.
+	pausedUntil func(plank.Run) time.Time
 
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
@@ -207,7 +210,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
@@ -289,6 +292,8 @@
 			e.admit(res, now)
 		case e.unresponsive:
 			res.settle(Outcome{Reason: "the engine does not answer"})
+		case e.pauseEnd().After(res.Deadline) && !e.serves(res, now):
+			res.settle(Outcome{Reason: "the engine takes no orders in time"})
 		default:
 			waiting = append(waiting, res)
 		}
@@ -297,6 +302,13 @@
 	e.queue = waiting
 }
 
+// pauseEnd returns the time until which the engine wants no orders and no status requests of
+// this VM.
+func (e *Engine) pauseEnd() time.Time { return e.pausedUntil(e.inst.Run()) }
+
+// isPaused reports whether the engine wants no orders and no status requests now.
+func (e *Engine) isPaused(now time.Time) bool { return e.pauseEnd().After(now) }
+
 // expire refuses the queued reservations whose deadline has passed.
 func (e *Engine) expire(now time.Time) {
 	expired := func(res *reservation) bool { return !res.Deadline.After(now) }
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -41,7 +41,8 @@
 	allowCold    bool
 	baseLoadedAt time.Time // when the load of the base model ends
 	loadTime     time.Duration
-	avoid        bool // the engine is to get no calls
+	avoid        bool      // the engine is to get no calls
+	pausedUntil  time.Time // until when the engine wants no orders
 	// fate decides what happens to an order: its response may be lost, or it may be
 	// carried out late.
 	fate    func() (lost, late bool)
@@ -74,6 +75,7 @@
 		Self: "vm1", Evictor: place.LowestValue{}, Clock: fixedClock{}, Log: log.WithField("t", 1),
 		NewestVersion:  func(r plank.AdapterRef) (plank.VersionNumber, time.Time) { return h.newest[r], h.since },
 		Health:         func(plank.EndpointID) (float64, bool) { return 0, h.avoid },
+		PausedUntil:    func(plank.Run) time.Time { return h.pausedUntil },
 		InUseElsewhere: func(_ plank.EndpointID, r plank.AdapterRef) bool { return h.inUse[r] },
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return h.recent },
 	})
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -69,7 +69,7 @@
 
 func (e *Engine) capacity(now time.Time) capacity {
 	usable := e.isReady() && !e.isAvoided()
-	return capacity{usable: usable, freeSlot: usable && !now.Before(e.noLoadsUntil) && e.freeSlots(now) > e.wantedAdapters()}
+	return capacity{usable: usable, freeSlot: usable && !now.Before(e.noLoadsUntil) && !e.isPaused(now) && e.freeSlots(now) > e.wantedAdapters()}
 }
 
 // bestEngine returns the allowed engine with the lowest cost for a reservation, or
@@ -121,7 +121,7 @@
 }
 
 // movable returns the queued reservations that wait for an adapter slot while none is
-// available, or for the calls on an old version of their adapter to end, or all of them if
+// available, or the engine wants no orders, or for the calls on an old version of their adapter to end, or all of them if
 // the engine is to be avoided.
 func (e *Engine) movable(now time.Time) []*reservation {
 	if len(e.queue) == 0 {
@@ -131,6 +131,9 @@
 		return e.queue
 	}
 	left := e.freeSlots(now)
+	if e.isPaused(now) {
+		left = 0
+	}
 	var out []*reservation
 	seen := make(map[plank.AdapterRef]bool)
 	for _, res := range e.queue {
--- a/internal/grant/move_test.go
+++ b/internal/grant/move_test.go
@@ -62,6 +62,49 @@
 	}
 }
 
+// Calls that needed a load were held until their deadline at an engine that wanted no orders
+// for so long.
+func TestCallsWaitAtAnEngineThatWantsNoOrders(t *testing.T) {
+	const deadline = 10 * time.Second // of the calls
+	tests := []struct {
+		name  string
+		pause time.Duration
+		room  bool // another engine has room
+		// wantMoved is set if calls move there, wantRefused if they are refused at once.
+		wantMoved, wantRefused bool
+	}{
+		{"another has room", 2 * deadline, true, true, false},
+		{"another has room, short pause", time.Second, true, true, false},
+		{"none has room, short pause", time.Second, false, false, false},
+		{"none has room", 2 * deadline, false, false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDomain("paused", "other")
+			paused, other := d.harnesses[0], d.harnesses[1]
+			held := paused.reserve(1, 0)
+			for n := range 3 {
+				if !test.room {
+					other.reserve(20+n, 0)
+				}
+			}
+			d.advance(600 * time.Millisecond)
+			assert.Assert(t, held.Outcome != nil && held.Outcome.Granted)
+			paused.pausedUntil = paused.now.Add(test.pause)
+			sent := len(paused.trace)
+			call, resident := paused.reserve(10, 0), paused.reserve(1, 0)
+			d.advance(500 * time.Millisecond)
+			assert.Assert(t, resident.Outcome != nil && resident.Outcome.Granted, "its adapter needs no order")
+			assert.Equal(t, call.Endpoint() == "other" && call.Outcome != nil && call.Outcome.Granted, test.wantMoved)
+			assert.Equal(t, call.Outcome != nil && !call.Outcome.Granted, test.wantRefused)
+			assert.Equal(t, len(paused.trace), sent, "no order in the pause")
+			d.advance(test.pause)
+			assert.Assert(t, call.Outcome != nil)
+			assert.Equal(t, call.Outcome.Granted, !test.wantRefused)
+		})
+	}
+}
+
 // With all slots in use no call moves; the first slot that becomes idle is assigned to
 // the call, at whichever engine it is queued.
 func TestCallsDoNotMoveWithoutCapacity(t *testing.T) {
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -18,7 +18,7 @@
 // nextAction returns the action to perform now and whether there is one.
 // mayLoadCold reports whether another cold load may start.
 func (e *Engine) nextAction(now time.Time, mayLoadCold func() bool) (Action, bool) {
-	if e.busy {
+	if e.busy || e.isPaused(now) {
 		return Action{}, false
 	}
 	if !e.statusKnown || !now.Before(e.nextStatusAt) {
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -156,7 +156,7 @@
 		if e.coldOrder {
 			here = s.coldLoads()
 		}
-		if !e.busy && !s.isPaused(e, now) {
+		if !e.busy && !e.isPaused(now) {
 			wait = min(wait, max(time.Millisecond, e.nextDue(now).Sub(now)))
 		}
 	}
@@ -204,19 +204,12 @@
 func (s *Scheduler) stepEngine(e *Engine, now time.Time, mayLoadCold func() bool) bool {
 	before := len(e.queue)
 	e.admitQueued(now)
-	if !s.isPaused(e, now) {
-		if a, ok := e.nextAction(now, mayLoadCold); ok {
-			s.execute(e, a)
-		}
+	if a, ok := e.nextAction(now, mayLoadCold); ok {
+		s.execute(e, a)
 	}
 	return before != len(e.queue)
 }
 
-// isPaused reports whether an engine wants no requests of this VM now.
-func (s *Scheduler) isPaused(e *Engine, now time.Time) bool {
-	return s.deps.PausedUntil(e.inst.Run()).After(now)
-}
-
 // moveWaiting moves queued calls to engines that have capacity for them.
 func (s *Scheduler) moveWaiting(now time.Time, mayLoadCold bool) {
 	if !slices.ContainsFunc(s.sorted, func(e *Engine) bool { return len(e.queue) > 0 }) {
