node: a cleared crash observation stays cleared in what other VMs are told

Read, not seen: callers would see sound prompt parts counted against a crash on other VMs, and at worst refused.

Cause: the table of parts reports changes without its lock, so that two changes of one observation can arrive in the published state in either order; the later one replaced the other, and a cleared observation was published as open.

Change: both are merged, by the rule of the table itself. TestClearedObservationIsPublishedAsOpen failed before.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -278,7 +278,8 @@
 	defer s.mu.Unlock()
 	change := s.recordChange()
 	for _, o := range observations {
-		s.observations[o.Key()] = observationChange{o, change}
+		// Two changes of an observation can arrive here in either order.
+		s.observations[o.Key()] = observationChange{o.Merged(s.observations[o.Key()].observation), change}
 	}
 	for key := range s.observations {
 		if len(s.observations) <= poison.MaxObservations {
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/watch"
 	"knapweedplank.org/plank/platform"
 )
@@ -96,3 +97,20 @@
 	assert.Assert(t, ok, "the part with which no answer began is no longer quarantined")
 	assert.Equal(t, len(q.Parts), 1)
 }
+
+// An observation that was published after the answer that cleared it had begun counted again on
+// the other VMs.
+func TestClearedObservationIsPublishedAsOpen(t *testing.T) {
+	n := &Node{settings: &platform.Settings{VM: "vm", Domain: "d"}, clock: plank.SystemClock{}}
+	n.buildState()
+	n.state.wake = func() {}
+	n.state.fleetSize = func() int { return smallFleet }
+	open := poison.Observation{Part: "sound", Crash: plank.Run{Endpoint: "e", Born: 1}, At: time.Now()}
+	cleared := open
+	cleared.Cleared = true
+	n.state.setObservations([]poison.Observation{cleared})
+	n.state.setObservations([]poison.Observation{open})
+	g, _ := n.state.Gossip(mesh.GossipOptions{})
+	assert.Equal(t, len(g.CrashObservations), 1)
+	assert.Assert(t, g.CrashObservations[0].Cleared)
+}
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -57,6 +57,14 @@
 // Key returns the observation's key.
 func (o Observation) Key() ObservationKey { return ObservationKey{o.Part, o.Crash} }
 
+// Merged returns the observation with what another record of it tells. It does not matter
+// which of the two is older.
+func (o Observation) Merged(other Observation) Observation {
+	o.BegunBefore = o.BegunBefore || other.BegunBefore
+	o.Cleared = o.Cleared || other.Cleared
+	return o
+}
+
 // IsExpired reports whether the observation no longer counts.
 func (o Observation) IsExpired(now time.Time) bool { return now.Sub(o.At) >= partTTL }
 
@@ -234,9 +242,8 @@
 		return other, true
 	}
 	before := *o
-	o.BegunBefore = o.BegunBefore || other.BegunBefore
-	if other.Cleared && !o.Cleared {
-		o.Cleared = true
+	*o = o.Merged(other)
+	if o.Cleared && !before.Cleared {
 		t.close(o)
 	}
 	return *o, *o != before
