watch: an announced object is requested from the latest peer that announced it

If that peer froze or died, the VM asked it again and again, up to every two seconds, though others had announced the same revision; nothing was in force until the store was back.

Change: each announcement of the wanted revision replaces the peer that is asked next. TestDeadPeerIsAskedAgainAndAgain failed before (not in force after 3 s).

--- a/internal/watch/fetch.go
+++ b/internal/watch/fetch.go
@@ -68,9 +68,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current, running := f.pending[key]
-	if running && current.revision >= revision {
+	if running && current.revision > revision {
 		return
 	}
+	// The latest of several peers is asked next: an earlier one may be gone.
 	f.pending[key] = announcement{peer, revision}
 	if !running {
 		go func() { f.fetch(key) }()
--- a/internal/watch/fetch_test.go
+++ b/internal/watch/fetch_test.go
@@ -99,6 +99,35 @@
 	}
 }
 
+// An object that several peers had announced was requested only from the first of them, which
+// had died meanwhile, for as long as the store was away.
+func TestDeadPeerIsAskedAgainAndAgain(t *testing.T) {
+	f := newFixture()
+	o := &origin{Store: memory.New(), unavailable: true, peerObject: change("config/main", 1, plank.Manifest{Version: 7})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fetcher := watch.NewFetcher(ctx, watch.FetchOptions{
+		Store: o, Table: f.table, IsWatching: func() bool { return false }, Clock: plank.SystemClock{}, Log: log.WithField("t", 1),
+		GetFromPeer: func(ctx context.Context, vm plank.VMID, key string, revision plank.Revision) (plank.Change, error) {
+			if vm == "dead" {
+				return plank.Change{}, errors.New("dead")
+			}
+			return o.getFromPeer(ctx, vm, key, revision)
+		},
+	})
+	fetcher.HandleAnnouncement("dead", "config/main", 1)
+	time.Sleep(50 * time.Millisecond) // until the first peer has been asked
+	fetcher.HandleAnnouncement("alive", "config/main", 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if m := f.view.Load().Manifest; m != nil && m.Version == 7 {
+			return poll.Success()
+		}
+		return poll.Continue("configuration not in force")
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
 // An announcement that cannot be fetched causes few calls: of a key without a sink, or
 // of a revision that is newer than the one in the store.
 func TestFetchWithoutProgress(t *testing.T) {
