--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -36,6 +36,7 @@
 	*front.Server
 	view   *view.Publisher
 	health *health.Table
+	parts  *poison.PartTable
 	// reserve returns the engine that is granted for the nth reservation, from 0.
 	reserve func(n int) plank.EndpointID
 	// send returns the answer of an endpoint.
@@ -69,7 +70,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	clock := plank.SystemClock{}
-	h := &harness{view: view.New(nil), health: health.New(clock)}
+	h := &harness{
+		view: view.New(nil), health: health.New(clock),
+		parts: poison.NewPartTable(clock, func([]poison.Observation) {}, func(poison.Quarantine, bool) {}),
+	}
 	m := mesh.New(ctx, mesh.Self{VM: "vm", Boot: "boot", Domain: "d", Address: "10.0.0.9:1"}, mesh.PeerTransport(peer.New(nil, nil, log)), noState{}, clock, log)
 	route := func(name string, kind plank.RouteKind, service plank.ServiceID) plank.Route {
 		return plank.Route{
@@ -93,7 +97,7 @@
 	h.Server = front.New(front.Deps{
 		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
 		Chooser: &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock}, Budgets: front.NewBudgets(0.2, 10),
-		Health: h.health, Poison: poison.New(clock, nil), Parts: poison.NewPartTable(clock, func([]poison.Observation) {}, func(poison.Quarantine, bool) {}),
+		Health: h.health, Poison: poison.New(clock, nil), Parts: h.parts,
 		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} },
 		IsDown: func(plank.Instance) bool { return false }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
@@ -186,15 +190,15 @@
 	n int
 }
 
-// call sends a call on a route and returns the answer.
-func (h *harness) call(route string) *answer {
+// call sends a call on a route, with the given prompt parts, and returns the answer.
+func (h *harness) call(route string, parts ...plank.PartID) *answer {
 	calls.Lock()
 	calls.n++
 	id := plank.RequestID(fmt.Sprint("call-", calls.n))
 	calls.Unlock()
 	a := new(answer)
 	h.Handle(context.Background(), &plank.Call{
-		ID: id, Method: http.MethodPost, Host: "h", Target: "/" + route + "/", Header: http.Header{}, Arrived: time.Now(),
+		ID: id, Method: http.MethodPost, Host: "h", Target: "/" + route + "/", Header: http.Header{}, Arrived: time.Now(), Parts: parts,
 	}, a)
 	return a
 }
@@ -310,3 +314,45 @@
 		}
 	}
 }
+
+// A stream clears the parts of its prompt while it runs, but not with its first event, which
+// engines may send before they crash.
+func TestRunningStreamClearsItsParts(t *testing.T) {
+	const part plank.PartID = "part"
+	for _, test := range []struct {
+		name        string
+		events      int // 70 ms apart
+		quarantined bool
+	}{
+		{"first event", 1, true},
+		{"goes on", 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			crash := func(n int64) {
+				time.Sleep(250 * time.Millisecond) // crashes at the same moment count once
+				h.parts.RecordCrash(plank.Run{Endpoint: "e", Born: n}, plank.Fingerprint(fmt.Sprint(n)), []plank.PartID{part})
+			}
+			crash(1)
+			crash(2)
+			r, w := io.Pipe()
+			h.send = func(plank.EndpointID) (*plank.Reply, error) {
+				reply := stream()
+				reply.Body = r
+				return reply, nil
+			}
+			ended := make(chan *answer, 1)
+			go func() { ended <- h.call("ask", part) }()
+			for n := range test.events {
+				_, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", n+1)
+				assert.NilError(t, err)
+				time.Sleep(70 * time.Millisecond)
+			}
+			crash(3)
+			_, quarantined := h.parts.Lookup([]plank.PartID{part})
+			assert.Equal(t, quarantined, test.quarantined)
+			w.Close()
+			assert.Equal(t, (<-ended).status, http.StatusOK)
+		})
+	}
+}
