--- a/internal/node/configfaults_test.go
+++ b/internal/node/configfaults_test.go
@@ -12,8 +12,8 @@
 	"knapweedplank.org/plank"
 )
 
-// contactTime is how long a VM and the store must have been undisturbed until the bound
-// of a configuration holds, in the users' grown sites.
+// contactTime is how long a VM must have been undisturbed until the bound of a configuration
+// holds for it, in the users' grown sites.
 const contactTime = 4 * time.Second
 
 // A configJudge checks that configurations are in force in time, and never go back.
@@ -22,14 +22,12 @@
 	// writtenAt holds when each version was written.
 	writtenAt map[plank.ManifestVersion]time.Time
 	newest    plank.ManifestVersion
-	// disturbedUntil holds the end of the last fault of each VM, by IP address, and of
-	// the store, by "".
+	// Of each VM, by IP address: the end of its last fault, the newest version seen there,
+	// and the last version that was late.
 	disturbedUntil map[string]time.Time
-	seen           map[string]plank.ManifestVersion // the newest version seen on a VM
-	late           map[string]plank.ManifestVersion // the last version that was late
-	faults         []string
+	seen, late     map[string]plank.ManifestVersion
 	begin          time.Time
-	errors         []string
+	faults, errors []string
 }
 
 // log records a fault.
@@ -37,18 +35,6 @@
 	j.faults = append(j.faults, fmt.Sprintf("%5.2f ", time.Since(j.begin).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// disturb records a fault of a VM, or of the store, that ends after a time.
-func (j *configJudge) disturb(name string, length time.Duration) {
-	if end := time.Now().Add(length); end.After(j.disturbedUntil[name]) {
-		j.disturbedUntil[name] = end
-	}
-}
-
-// isInTouch reports whether neither a VM nor the store was disturbed lately.
-func (j *configJudge) isInTouch(ip string, now time.Time) bool {
-	return now.Sub(j.disturbedUntil[ip]) > contactTime && now.Sub(j.disturbedUntil[""]) > contactTime
-}
-
 // check checks all VMs now.
 func (j *configJudge) check() {
 	for _, n := range j.d.nodes {
@@ -59,7 +45,7 @@
 			j.errors = append(j.errors, fmt.Sprintf("%s went back from version %d to %d", ip, j.seen[ip], have))
 		}
 		j.seen[ip] = have
-		if due := have + 1; j.late[ip] < due && j.isInTouch(ip, now) {
+		if due := have + 1; j.late[ip] < due && now.Sub(j.disturbedUntil[ip]) > contactTime {
 			if at, ok := j.writtenAt[due]; ok && now.Sub(at) > configBound {
 				j.late[ip] = due
 				j.errors = append(j.errors, fmt.Sprintf("%5.2f: %s has version %d, not %d, %v after it was written", now.Sub(j.begin).Seconds(), ip, have, due, now.Sub(at)))
@@ -100,9 +86,9 @@
 	for range rounds {
 		switch rng.IntN(6) {
 		case 0, 1:
-			j.freezeSome(rng)
+			j.disturbSome(rng, "freezes", d.links.freeze, d.links.thaw)
 		case 2:
-			j.cutSome(rng)
+			j.disturbSome(rng, "loses the store", d.links.cutStore, d.links.healStore)
 		case 3:
 			d.store.DropHistory()
 			j.log("history dropped")
@@ -137,24 +123,15 @@
 	return watching[rng.IntN(len(watching))]
 }
 
-// freezeSome stops the traffic of some VMs for a while.
-func (j *configJudge) freezeSome(rng *rand.Rand) {
+// disturbSome applies a fault to some VMs for a while.
+func (j *configJudge) disturbSome(rng *rand.Rand, fault string, begin, end func(vm string)) {
 	for range 1 + rng.IntN(3) {
-		n, length := j.victim(rng), time.Duration(300+rng.IntN(4000))*time.Millisecond
-		j.log("%s freezes for %v", n.settings.IP, length)
-		j.disturb(n.settings.IP, length)
-		j.d.links.freeze(n.settings.IP)
-		time.AfterFunc(length, func() { j.d.links.thaw(n.settings.IP) })
-	}
-}
-
-// cutSome cuts some VMs off from the store for a while.
-func (j *configJudge) cutSome(rng *rand.Rand) {
-	for range 1 + rng.IntN(3) {
-		n, length := j.victim(rng), time.Duration(300+rng.IntN(4000))*time.Millisecond
-		j.log("%s loses the store for %v", n.settings.IP, length)
-		j.disturb(n.settings.IP, length)
-		j.d.links.cutStore(n.settings.IP)
-		time.AfterFunc(length, func() { j.d.links.healStore(n.settings.IP) })
+		vm, length := j.victim(rng).settings.IP, time.Duration(300+rng.IntN(4000))*time.Millisecond
+		j.log("%s %s for %v", vm, fault, length)
+		if end := time.Now().Add(length); end.After(j.disturbedUntil[vm]) {
+			j.disturbedUntil[vm] = end
+		}
+		begin(vm)
+		time.AfterFunc(length, func() { end(vm) })
 	}
 }
