--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -121,8 +121,8 @@
 }
 
 // movable returns the queued reservations that wait for an adapter slot while none is
-// available, or the engine wants no orders, or for the calls on an old version of their adapter to end, or all of them if
-// the engine is to be avoided.
+// available or the engine wants no orders, or for the calls on an old version of their adapter
+// to end. It returns all of them if the engine is to be avoided.
 func (e *Engine) movable(now time.Time) []*reservation {
 	if len(e.queue) == 0 {
 		return nil
