Review case 2: a removal while the watching daemons restart is told by nobody

Cause: a daemon that has just started knows no entry that it could tell as removed, and its peers take its fresh view of the store for a complete one. Ruled out: the store, which is not disturbed; the daemons that send the requests, to which nothing happens.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Plays the case half-left. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
+# Plays the case removed. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/knapweedplank ] && [ -x target/review-stand ] || exit 2
-target/review-stand --daemon target/knapweedplank --record review/2/record.txt half-left
+target/review-stand --daemon target/knapweedplank --record review/2/record.txt removed
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/stand/engine_test.go
+++ b/review/stand/engine_test.go
@@ -20,18 +20,38 @@
 	engineSlots    = 64
 	engineAdapters = 7
 	adapterTime    = 250 * time.Millisecond
+	baseTime       = 760 * time.Millisecond // from the worker's own disk, after a restart
 	firstEventTime = 60 * time.Millisecond
 	eventTime      = 22 * time.Millisecond // five tokens
 	streamEvents   = 58
+	// downTime is how long a crashed engine is down, and heartbeat the interval of its writes
+	// to the store, after three of which a silent engine's entry is removed.
+	downTime  = 3 * time.Second
+	heartbeat = 1200 * time.Millisecond
 )
 
+// poisonBody is the body of the request that crashes each engine that begins to run it.
+const poisonBody = "crashes each engine that begins to run it"
+
 // An engine is a stand-in of a model worker. It holds one base model and loads adapters.
 type engine struct {
-	f              *fleet
-	id, zone, addr string
-	born           int64
+	f          *fleet
+	name, zone string
+	addr       string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// id and born are those of the current incarnation, starts counts the incarnations.
+	id     string
+	born   int64
+	starts int
+	down   bool
+	server *http.Server
+	// hasBase is set while the base model is held, baseAt is when its load ends.
+	hasBase  bool
+	baseAt   time.Time
+	poisoned []time.Time // arrivals of the request that crashes engines
+	cut      int         // other requests that a crash cut off
+	running  int
 	adapters map[string]*adapter
 	seq      uint64
 	fence    uint64
@@ -53,31 +73,86 @@
 	at          time.Time
 }
 
-// startEngine starts an engine and registers it as ready.
-func (f *fleet) startEngine(id, zone string) (*engine, error) {
-	e := &engine{f: f, id: id, zone: zone, born: time.Now().UnixMilli(), adapters: make(map[string]*adapter)}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+// startEngine starts an engine that holds its base model and registers it as ready.
+func (f *fleet) startEngine(name, zone string) (*engine, error) {
+	e := &engine{f: f, name: name, zone: zone, addr: "127.0.0.1:0", hasBase: true}
+	if err := e.start(); err != nil {
 		return nil, err
 	}
+	return e, nil
+}
+
+// start starts the next incarnation.
+func (e *engine) start() error {
+	ln, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.addr = ln.Addr().String()
-	go func() { _ = (&http.Server{Handler: e}).Serve(ln) }()
-	f.register(id, map[string]any{
-		"service": modelService, "addr": e.addr, "zone": zone, "version": "v1", "slots": engineSlots, "state": "ready", "cold_left_ms": 0, "stage": "unified",
-		"models": []any{map[string]any{"name": baseModel, "version": 1, "adapters": []string{}}}, "seq": 0, "born": e.born,
+	e.starts++
+	e.id = fmt.Sprintf("%s-%d", e.name, e.starts)
+	e.born = time.Now().UnixMilli()
+	e.down, e.seq, e.fence, e.adapters = false, 0, 0, make(map[string]*adapter)
+	e.server = &http.Server{Handler: e}
+	server := e.server
+	go func() { _ = server.Serve(ln) }()
+	e.f.register(e.id, map[string]any{
+		"service": modelService, "addr": e.addr, "zone": e.zone, "version": "v1", "slots": engineSlots, "state": "ready", "cold_left_ms": 0, "stage": "unified",
+		"models": e.models(), "seq": 0, "born": e.born,
 	})
-	return e, nil
+	return nil
+}
+
+// models returns what the engine holds. The lock is held.
+func (e *engine) models() []any {
+	if !e.hasBase {
+		return []any{}
+	}
+	held := []string{}
+	for name, a := range e.adapters {
+		if a.coming == 0 {
+			held = append(held, fmt.Sprintf("%s@%d", name, a.version))
+		}
+	}
+	slices.Sort(held)
+	return []any{map[string]any{"name": baseModel, "version": 1, "adapters": held}}
+}
+
+// crash closes all connections at once. The engine starts again, empty, after downTime; the
+// entry of the old incarnation is removed after three heartbeats.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	old := e.id
+	e.down, e.hasBase, e.baseAt = true, false, time.Time{}
+	e.cut += e.running - 1
+	e.f.logf("engine %s: crashes, with %d other requests running", old, e.running-1)
+	_ = e.server.Close() // closes the listener and all connections
+	time.AfterFunc(downTime, func() {
+		if err := e.start(); err != nil {
+			e.f.logf("engine %s: does not start again: %v", e.name, err)
+		}
+	})
+	time.AfterFunc(3*heartbeat, func() { e.f.store.Delete("servers/" + old) })
 }
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("Knapweedplank-Expect-Instance"); expected != "" && expected != e.id {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
+	if expected := r.Header.Get("Knapweedplank-Expect-Instance"); expected != "" && expected != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
 	case "/healthz":
-		w.Header().Set("Knapweedplank-Instance-Id", e.id)
+		w.Header().Set("Knapweedplank-Instance-Id", id)
 	case "/report":
 		e.report(w)
 	case "/order":
@@ -90,6 +165,9 @@
 // advance ends the loads whose time has come. The lock is held.
 func (e *engine) advance() {
 	now := time.Now()
+	if !e.baseAt.IsZero() && !now.Before(e.baseAt) {
+		e.hasBase, e.baseAt = true, time.Time{}
+	}
 	for name, a := range e.adapters {
 		if a.coming == 0 {
 			continue
@@ -108,18 +186,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
-	held, coming, running := []string{}, []string{}, 0
+	coming, running := []string{}, 0
 	for name, a := range e.adapters {
 		if a.coming > 0 {
 			coming = append(coming, fmt.Sprintf("%s/%s@%d", baseModel, name, a.coming))
-		} else {
-			held = append(held, fmt.Sprintf("%s@%d", name, a.version))
 		}
 		running += a.runs
 	}
-	slices.Sort(held)
 	writeJSON(w, map[string]any{
-		"stage": "unified", "models": []any{map[string]any{"name": baseModel, "version": 1, "adapters": held}}, "busy": false, "seq": e.seq,
+		"stage": "unified", "models": e.models(), "busy": !e.baseAt.IsZero(), "seq": e.seq,
 		"waiting": 0, "running": running, "kv_used": 900 * running, "kv_total": 255303, "handles": 0, "coming": coming, "state": "ready", "born": e.born,
 	})
 }
@@ -163,8 +238,16 @@
 		version = e.f.newestVersion(o.Adapter)
 	}
 	switch {
-	case o.Adapter == "":
+	case o.Adapter == "" && e.hasBase:
 		return http.StatusOK
+	case !e.baseAt.IsZero():
+		return http.StatusConflict // another order is under way
+	case o.Adapter == "" && (o.Expect == nil || *o.Expect == e.seq):
+		e.seq++
+		e.baseAt = time.Now().Add(baseTime)
+		return http.StatusAccepted
+	case !e.hasBase:
+		return http.StatusConflict
 	case o.Op == "load" && a != nil && a.coming == version:
 		return http.StatusAccepted // under way
 	case o.Op == "load" && a != nil && a.coming == 0 && a.version >= version, o.Op == "unload" && a == nil:
@@ -194,9 +277,14 @@
 	id := r.Header.Get("Knapweedplank-Attempt-Id")
 	_, name, _ := strings.Cut(r.Header.Get("Knapweedplank-Model"), "/")
 	w.Header().Set("Knapweedplank-Attempt-Id", id)
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
+	isPoison := string(body) == poisonBody
+	if isPoison {
+		e.recordPoison(id)
+	}
 	version, status := e.admit(name, r.Header.Get("Knapweedplank-Expect-Version"))
 	if status != http.StatusOK {
 		e.f.logf("engine %s: %s not run: %d", e.id, id, status)
@@ -213,6 +301,8 @@
 	w.Header().Set("Knapweedplank-Server-Stamp", "stamp-"+e.id+"-"+id)
 	w.Header().Set("Knapweedplank-Weight-Versions", strconv.Itoa(version))
 	pause := firstEventTime
+	e.addRunning(1)
+	defer e.addRunning(-1)
 	for n := first; n <= streamEvents; n++ {
 		select {
 		case <-time.After(pause):
@@ -230,6 +320,11 @@
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
 		}
+		if isPoison {
+			time.Sleep(time.Millisecond) // the event leaves the engine
+			e.crash()
+			return
+		}
 	}
 	e.f.logf("engine %s: ran %s to its end, %d events", e.id, id, streamEvents)
 }
@@ -255,7 +350,9 @@
 func (e *engine) end(name string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.adapters[name].runs--
+	if a := e.adapters[name]; a != nil { // not after a crash
+		a.runs--
+	}
 	e.advance()
 }
 
@@ -291,3 +388,24 @@
 	defer e.mu.Unlock()
 	return slices.Clone(e.begins)
 }
+
+func (e *engine) addRunning(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running += n
+}
+
+func (e *engine) recordPoison(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.f.logf("engine %s: %s arrives, which crashes engines", e.id, id)
+	e.poisoned = append(e.poisoned, time.Now())
+}
+
+// poisonArrivals returns when the request that crashes engines arrived, and how many other
+// requests the crashes cut off.
+func (e *engine) poisonArrivals() (arrivals []time.Time, cut int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.poisoned), e.cut
+}
--- a/review/stand/fleet_test.go
+++ b/review/stand/fleet_test.go
@@ -32,6 +32,7 @@
 // The bounds of the small sites that the cases use.
 const (
 	contactTime  = 3000 * time.Millisecond
+	drainTime    = 2000 * time.Millisecond
 	versionTime  = 5000 * time.Millisecond
 	maxReadyTime = 20 * time.Second
 	maxPlayTime  = 110 * time.Second
@@ -45,7 +46,6 @@
 zones.bc-south-a=bc-south
 zones.bc-south-b=bc-south
 zones.bc-south-c=bc-south
-is_bootstrap=true
 counts_toward_faults=false
 limits.cpu_share=0.4
 limits.cores=1
@@ -100,6 +100,7 @@
 type daemon struct {
 	name, zone              string
 	callers, ready, control string // host:port
+	internal                string // port
 	settings                string // path
 	cmd                     *exec.Cmd
 	exited                  chan struct{}
@@ -112,6 +113,7 @@
 	store     *stand.Store
 	storeAddr string
 	daemons   []*daemon
+	seeds     []string
 	reserved  []net.Listener
 
 	mu       sync.Mutex
@@ -180,10 +182,14 @@
 	f.logf("operator: configuration version 3 acknowledged")
 }
 
-// startDaemons starts one daemon in each of the first n zones and waits until all are ready.
-func (f *fleet) startDaemons(n int) error {
-	for _, zone := range zones[:n] {
-		d := &daemon{name: "edge-" + zone + "-1", zone: zone}
+// startDaemons starts the given number of daemons in each zone and waits until all are ready.
+func (f *fleet) startDaemons(perZone ...int) error {
+	for i, n := range perZone {
+		for j := range n {
+			f.daemons = append(f.daemons, &daemon{name: fmt.Sprintf("edge-%s-%d", zones[i], j+1), zone: zones[i]})
+		}
+	}
+	for _, d := range f.daemons {
 		for _, addr := range []*string{&d.callers, &d.ready, &d.control} {
 			// The port stays reserved until the daemon starts.
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -193,11 +199,9 @@
 			f.reserved = append(f.reserved, ln)
 			*addr = ln.Addr().String()
 		}
-		f.daemons = append(f.daemons, d)
 	}
-	var seeds []string
-	for _, d := range f.daemons {
-		seeds = append(seeds, d.control)
+	for _, d := range f.daemons[:min(3, len(f.daemons))] {
+		f.seeds = append(f.seeds, d.control)
 	}
 	internal, err := f.freePorts(len(f.daemons))
 	if err != nil {
@@ -209,7 +213,8 @@
 		}
 	}
 	for i, d := range f.daemons {
-		if err := f.start(d, seeds, internal[i]); err != nil {
+		d.internal = internal[i]
+		if err := f.start(d, true); err != nil {
 			return err
 		}
 	}
@@ -241,17 +246,19 @@
 	return ports, nil
 }
 
-// start starts a daemon as the deploy file does.
-func (f *fleet) start(d *daemon, seeds []string, internal string) error {
+// start starts a daemon as the deploy file does. first is set if the whole system starts for
+// the first time.
+func (f *fleet) start(d *daemon, first bool) error {
 	d.settings = filepath.Join(f.dir, d.name+".conf")
 	text := bounds + strings.Join([]string{
 		"node_name=" + d.name, "ip=127.0.0.1", "zone=" + d.zone, "listen.frontend=" + d.callers, "listen.ready=" + d.ready,
-		"listen.control_plane=" + d.control, "internal_ports=" + internal + "," + internal, "seeds=" + strings.Join(seeds, ","), "platform.addr=" + f.storeAddr,
+		"listen.control_plane=" + d.control, "internal_ports=" + d.internal + "," + d.internal, "seeds=" + strings.Join(f.seeds, ","), "platform.addr=" + f.storeAddr,
+		fmt.Sprintf("is_bootstrap=%v", first),
 	}, "\n") + "\n"
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(f.dir, d.name+".log"))
+	out, err := os.OpenFile(filepath.Join(f.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -262,10 +269,11 @@
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
-	d.exited = make(chan struct{})
+	cmd, exited := d.cmd, make(chan struct{})
+	d.exited = exited
 	go func() {
-		_ = d.cmd.Wait() // killed at the end
-		close(d.exited)
+		_ = cmd.Wait() // killed in the case or at the end
+		close(exited)
 	}()
 	f.logf("daemon %s started, callers at %s", d.name, d.callers)
 	return nil
@@ -288,6 +296,20 @@
 	return errors.New(d.name + " is not ready")
 }
 
+// kill kills daemons at the same moment and waits for their ends.
+func (f *fleet) kill(daemons ...*daemon) error {
+	for _, d := range daemons {
+		f.logf("daemon %s is killed", d.name)
+		if err := d.cmd.Process.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, d := range daemons {
+		<-d.exited
+	}
+	return nil
+}
+
 // close ends the daemons and removes their files. Their logs are kept if KEEP_LOGS names a
 // directory.
 func (f *fleet) close() {
--- a/review/stand/main_test.go
+++ b/review/stand/main_test.go
@@ -30,13 +30,18 @@
 var scenarios = map[string]scenario{
 	"versions":  playVersions,
 	"half-left": playHalfLeft,
+	"crashing":  playCrashing,
+	"removed":   playRemoved,
+	"outage":    playOldOutage,
 }
 
 // A run is one play of a case.
 type run struct {
 	*record
 	trouble bool
-	daemon  string // path of the daemon's program
+	// killOnly leaves out the store's outage, in the case that has two disruptions.
+	killOnly bool
+	daemon   string // path of the daemon's program
 }
 
 // TestMain plays the case that is named on the command line. The program is built with
@@ -57,7 +62,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	r := &run{record: rec, trouble: os.Getenv("TROUBLE") != "0", daemon: *daemon}
+	r := &run{record: rec, trouble: os.Getenv("TROUBLE") != "0", killOnly: os.Getenv("TROUBLE") == "kill", daemon: *daemon}
 	r.logf("case %s, trouble %v", flag.Arg(0), r.trouble)
 	violations, err := s(r)
 	code := exitHeld
--- a/review/stand/worker_test.go
+++ b/review/stand/worker_test.go
@@ -18,9 +18,17 @@
 	addr     string
 	workTime time.Duration
 	born     int64
+	server   *http.Server
 
-	mu      sync.Mutex
-	running int
+	mu       sync.Mutex
+	running  int
+	arrivals []arrival
+}
+
+// An arrival is a request that reached a worker.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 const workerSlots = 6
@@ -33,7 +41,8 @@
 		return nil, err
 	}
 	w.addr = ln.Addr().String()
-	go func() { _ = (&http.Server{Handler: w}).Serve(ln) }()
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(ln) }()
 	f.register(id, map[string]any{
 		"service": plainService, "addr": w.addr, "zone": zone, "version": "v1", "slots": workerSlots, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": w.born,
 	})
@@ -57,6 +66,7 @@
 		return
 	}
 	w.mu.Lock()
+	w.arrivals = append(w.arrivals, arrival{id, time.Now()})
 	w.running++
 	n := w.running
 	w.mu.Unlock()
@@ -83,3 +93,22 @@
 	rw.Header().Set("Knapweedplank-Server-Load", fmt.Sprintf("%d,0,%d", n, workerSlots))
 	_, _ = io.WriteString(rw, "booked "+id) // the caller may have left
 }
+
+// arrivalsAfter returns the requests that arrived after a time.
+func (w *worker) arrivalsAfter(t time.Time) []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []arrival
+	for _, a := range w.arrivals {
+		if a.at.After(t) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// exit ends the worker.
+func (w *worker) exit() {
+	w.f.logf("worker %s: exits", w.id)
+	_ = w.server.Close() // closes the listener and all connections
+}
