--- a/review/stand/fleet_test.go
+++ b/review/stand/fleet_test.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"knapweedplank.org/plank/platform/stand"
@@ -98,12 +100,11 @@
 
 // A daemon is one process of the entry role with its addresses.
 type daemon struct {
-	name, zone              string
-	callers, ready, control string // host:port
-	internal                string // port
-	settings                string // path
-	cmd                     *exec.Cmd
-	exited                  chan struct{}
+	name, zone                        string
+	callers, ready, control, internal string // host:port
+	settings                          string // path
+	cmd                               *exec.Cmd
+	exited                            chan struct{}
 }
 
 // A fleet is the store and the daemons of one play.
@@ -114,7 +115,6 @@
 	storeAddr string
 	daemons   []*daemon
 	seeds     []string
-	reserved  []net.Listener
 
 	mu       sync.Mutex
 	attempts int
@@ -133,14 +133,24 @@
 	}
 	f.storeAddr = ln.Addr().String()
 	f.configure()
-	time.AfterFunc(maxPlayTime, func() {
-		f.logf("the case takes too long")
-		f.close()
-		os.Exit(exitFailed)
-	})
+	go f.stopEarly()
 	return f, nil
 }
 
+// stopEarly ends the daemons and the program on a signal, or when the case takes too long.
+func (f *fleet) stopEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case sig := <-signals:
+		f.logf("stopped by %v", sig)
+	case <-time.After(maxPlayTime):
+		f.logf("the case takes too long")
+	}
+	f.close()
+	os.Exit(exitFailed)
+}
+
 // serve serves h on a free port of the loopback interface.
 func serve(h http.Handler) (net.Listener, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -190,30 +200,17 @@
 		}
 	}
 	for _, d := range f.daemons {
-		for _, addr := range []*string{&d.callers, &d.ready, &d.control} {
-			// The port stays reserved until the daemon starts.
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
+		for _, addr := range []*string{&d.callers, &d.ready, &d.control, &d.internal} {
+			var err error
+			if *addr, err = reserveAddr(); err != nil {
 				return err
 			}
-			f.reserved = append(f.reserved, ln)
-			*addr = ln.Addr().String()
 		}
 	}
 	for _, d := range f.daemons[:min(3, len(f.daemons))] {
 		f.seeds = append(f.seeds, d.control)
 	}
-	internal, err := f.freePorts(len(f.daemons))
-	if err != nil {
-		return err
-	}
-	for _, ln := range f.reserved {
-		if err := ln.Close(); err != nil {
-			return err
-		}
-	}
-	for i, d := range f.daemons {
-		d.internal = internal[i]
+	for _, d := range f.daemons {
 		if err := f.start(d, true); err != nil {
 			return err
 		}
@@ -228,31 +225,42 @@
 	return nil
 }
 
-// freePorts reserves n ports until startDaemons releases all.
-func (f *fleet) freePorts(n int) ([]string, error) {
-	var ports []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		f.reserved = append(f.reserved, ln)
-		_, port, err := net.SplitHostPort(ln.Addr().String())
-		if err != nil {
-			return nil, err
-		}
-		ports = append(ports, port)
+// reserveAddr returns a free address of the loopback interface. A socket that is bound to it
+// and does not listen keeps outgoing connections from getting its port, also while a daemon is
+// down.
+func reserveAddr() (string, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return "", err
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return "", err
 	}
-	return ports, nil
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		return "", err
+	}
+	addr, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		return "", errors.New("no IPv4 address")
+	}
+	return fmt.Sprintf("127.0.0.1:%d", addr.Port), nil
 }
 
 // start starts a daemon as the deploy file does. first is set if the whole system starts for
 // the first time.
 func (f *fleet) start(d *daemon, first bool) error {
+	_, internalPort, err := net.SplitHostPort(d.internal)
+	if err != nil {
+		return err
+	}
 	d.settings = filepath.Join(f.dir, d.name+".conf")
 	text := bounds + strings.Join([]string{
 		"node_name=" + d.name, "ip=127.0.0.1", "zone=" + d.zone, "listen.frontend=" + d.callers, "listen.ready=" + d.ready,
-		"listen.control_plane=" + d.control, "internal_ports=" + d.internal + "," + d.internal, "seeds=" + strings.Join(f.seeds, ","), "platform.addr=" + f.storeAddr,
+		"listen.control_plane=" + d.control, "internal_ports=" + internalPort + "," + internalPort, "seeds=" + strings.Join(f.seeds, ","), "platform.addr=" + f.storeAddr,
 		fmt.Sprintf("is_bootstrap=%v", first),
 	}, "\n") + "\n"
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
