grant: the grace of an old adapter version begins with the first newer one

Cause: each VM kept one time an adapter, that of its newest version, and Engine.isStale let calls begin on a version in use for 2 s after that time. Each announcement renewed it, so with versions 1.5 s apart and calls that overlap the slot was never stale.

Change: node keeps when the last versions became known; grant asks when the version in the slot was first superseded, a time that later versions cannot move.

--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -64,8 +64,9 @@
 	basePollInterval = 300 * time.Millisecond
 	// maxLoading is the maximum number of adapters that an engine loads at once.
 	maxLoading = 4
-	// versionGrace is how long calls still get the old version of an adapter that is
-	// in use, so that a replacement does not block all of its calls.
+	// versionGrace is how long calls still get a version of an adapter that is in use
+	// after the first newer one became known, so that a replacement does not block all
+	// of its calls.
 	versionGrace = 2 * time.Second
 	// prefillHalfLife is the half-life of the decayed count of prompt tokens.
 	prefillHalfLife = time.Second
@@ -155,9 +156,11 @@
 	limits       Limits
 	fencingToken plank.FencingToken
 	evictor      plank.Evictor
-	// newestVersion returns the newest announced version of an adapter and when it
-	// became known.
-	newestVersion func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+	// newestVersion returns the newest announced version of an adapter.
+	newestVersion func(plank.AdapterRef) plank.VersionNumber
+	// supersededAt returns when the first version of an adapter that is newer than the
+	// given one became known; the zero time if none is known.
+	supersededAt func(plank.AdapterRef, plank.VersionNumber) time.Time
 	// inUseElsewhere reports whether other VMs have calls on an adapter of the engine.
 	// It lags, and is used only while calls from a previous lease holder may run.
 	inUseElsewhere func(plank.EndpointID, plank.AdapterRef) bool
@@ -210,7 +213,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
@@ -348,12 +351,10 @@
 // isStale reports whether a slot holds a version that gets no new calls. minVersion
 // is the caller's minimum version.
 func (e *Engine) isStale(slot *adapterSlot, now time.Time, minVersion plank.VersionNumber) bool {
-	newest, since := e.newestVersion(slot.ref)
-	newest = max(newest, minVersion)
-	if slot.version >= newest {
+	if slot.version >= max(e.newestVersion(slot.ref), minVersion) {
 		return false
 	}
-	return e.users[slot.ref] == 0 || now.Sub(since) > versionGrace
+	return e.users[slot.ref] == 0 || now.Sub(e.supersededAt(slot.ref, slot.version)) > versionGrace
 }
 
 func (e *Engine) admit(res *reservation, now time.Time) {
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -25,14 +25,15 @@
 
 // A harness runs an Engine against a simulated model engine.
 type harness struct {
-	id           plank.EndpointID
-	now          time.Time
-	engine       *grant.Engine
-	seq          uint64
-	resident     map[plank.AdapterRef]plank.VersionNumber
-	loading      map[plank.AdapterRef]time.Time
-	newest       map[plank.AdapterRef]plank.VersionNumber
-	since        time.Time // when newest became known
+	id       plank.EndpointID
+	now      time.Time
+	engine   *grant.Engine
+	seq      uint64
+	resident map[plank.AdapterRef]plank.VersionNumber
+	loading  map[plank.AdapterRef]time.Time
+	newest   map[plank.AdapterRef]plank.VersionNumber
+	// supersededAt is when the versions older than newest were superseded.
+	supersededAt time.Time
 	inUse        map[plank.AdapterRef]bool
 	recent       []plank.AdapterRef // recent adapters as reported by other VMs
 	maxAdapters  int
@@ -73,7 +74,8 @@
 		Instance: plank.Instance{ID: h.id, Bases: []plank.BaseID{"m"}}, Limits: limits, Term: 7,
 	}, &grant.Deps{
 		Self: "vm1", Evictor: place.LowestValue{}, Clock: fixedClock{}, Log: log.WithField("t", 1),
-		NewestVersion:  func(r plank.AdapterRef) (plank.VersionNumber, time.Time) { return h.newest[r], h.since },
+		NewestVersion:  func(r plank.AdapterRef) plank.VersionNumber { return h.newest[r] },
+		SupersededAt:   func(plank.AdapterRef, plank.VersionNumber) time.Time { return h.supersededAt },
 		Health:         func(plank.EndpointID) (float64, bool) { return 0, h.avoid },
 		PausedUntil:    func(plank.Run) time.Time { return h.pausedUntil },
 		InUseElsewhere: func(_ plank.EndpointID, r plank.AdapterRef) bool { return h.inUse[r] },
@@ -312,7 +314,7 @@
 	h := newHarness(limits)
 	first := h.reserve(1, 0)
 	h.advance(400 * time.Millisecond)
-	h.newest[adapter(1)], h.since = 2, h.now
+	h.newest[adapter(1)], h.supersededAt = 2, h.now
 	graced := h.reserve(1, 0)
 	h.advance(20 * time.Millisecond)
 	assert.Assert(t, graced.Outcome != nil && graced.Outcome.Version < 2)
--- a/internal/grant/move_test.go
+++ b/internal/grant/move_test.go
@@ -182,7 +182,7 @@
 	d.advance(600 * time.Millisecond)
 	assert.Assert(t, running.Outcome != nil && running.Outcome.Granted)
 	for _, h := range d.harnesses {
-		h.newest[adapter(1)], h.since = 2, h.now.Add(-3*time.Second)
+		h.newest[adapter(1)], h.supersededAt = 2, h.now.Add(-3*time.Second)
 	}
 	var waits []*grant.TestReservation
 	for range 6 {
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -109,8 +109,7 @@
 
 // wantedResidency returns the adapter version to load for a reservation.
 func (e *Engine) wantedResidency(res *reservation) plank.Residency {
-	newest, _ := e.newestVersion(res.Adapter)
-	return plank.Residency{Adapter: res.Adapter, Version: max(newest, res.Version)}
+	return plank.Residency{Adapter: res.Adapter, Version: max(e.newestVersion(res.Adapter), res.Version)}
 }
 
 func (e *Engine) loadingCount() int {
--- a/internal/grant/paused_test.go
+++ b/internal/grant/paused_test.go
@@ -40,7 +40,8 @@
 	defer cancel()
 	s := grant.NewScheduler(ctx, grant.Deps{
 		Self: "vm", Controller: engine, Evictor: place.LowestValue{}, Clock: plank.SystemClock{}, Log: log.WithField("vm", "vm"),
-		NewestVersion:  func(plank.AdapterRef) (plank.VersionNumber, time.Time) { return 0, time.Time{} },
+		NewestVersion:  func(plank.AdapterRef) plank.VersionNumber { return 0 },
+		SupersededAt:   func(plank.AdapterRef, plank.VersionNumber) time.Time { return time.Time{} },
 		InUseElsewhere: func(plank.EndpointID, plank.AdapterRef) bool { return false },
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return nil }, RemoteColdLoads: func() int { return 0 },
 		Health: func(plank.EndpointID) (float64, bool) { return 0, false }, CountOrder: func(bool, string) {},
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -35,9 +35,11 @@
 	Evictor    plank.Evictor
 	Clock      plank.Clock
 	Log        *logrus.Entry
-	// NewestVersion returns the newest announced version of an adapter and when it
-	// became known.
-	NewestVersion func(plank.AdapterRef) (plank.VersionNumber, time.Time)
+	// NewestVersion returns the newest announced version of an adapter.
+	NewestVersion func(plank.AdapterRef) plank.VersionNumber
+	// SupersededAt returns when the first version of an adapter that is newer than the
+	// given one became known; the zero time if none is known.
+	SupersededAt func(plank.AdapterRef, plank.VersionNumber) time.Time
 	// InUseElsewhere reports whether other VMs have calls on an adapter of an engine.
 	InUseElsewhere func(plank.EndpointID, plank.AdapterRef) bool
 	// RecentAdapters returns the adapters that an engine held recently, the latest
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,7 +85,7 @@
 	duties       *dutyLoop
 	delay        delay.Meter
 	state        *state
-	releaseTimes releaseTimes
+	releaseTimes *releaseTimes
 	table        *watch.Table
 	watchPolicy  *watchPolicy
 	objectSender *objectSender
@@ -161,7 +161,7 @@
 	n.parts = poison.NewPartTable(n.clock, n.state.setObservations, n.quarantineChanged)
 	n.state.view, n.state.limiter, n.state.poison, n.state.parts = n.view, n.limiter, n.poison, n.parts
 	n.state.inFlight = front.NewInFlight(func() { n.mesh.Wake() })
-	n.releaseTimes.since = make(map[plank.AdapterRef]time.Time)
+	n.releaseTimes = newReleaseTimes()
 	bounds := n.settings.Bounds
 	n.budgets = front.NewBudgets(bounds.RetryRatio*retryBudgetFraction, bounds.RetrySlack*retryBudgetFraction)
 }
@@ -230,7 +230,7 @@
 	n.health = health.New(n.clock)
 	n.scheduler = grant.NewScheduler(ctx, grant.Deps{
 		Self: n.settings.VM, Controller: platform.NewEngineController(n.pool), Evictor: place.LowestValue{}, Clock: n.clock, Log: n.log,
-		NewestVersion: n.newestVersion, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
+		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		PausedUntil:    n.health.PausedUntil,
 		InUseElsewhere: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
@@ -266,10 +266,9 @@
 	metrics.GetOrRegisterCounter("Orders."+op+result, n.registry).Inc(1)
 }
 
-// newestVersion returns the newest version of an adapter and the time at which it
-// became known.
-func (n *Node) newestVersion(ref plank.AdapterRef) (plank.VersionNumber, time.Time) {
-	return n.view.Load().Versions[ref], n.releaseTimes.knownSince(ref)
+// newestVersion returns the newest announced version of an adapter.
+func (n *Node) newestVersion(ref plank.AdapterRef) plank.VersionNumber {
+	return n.view.Load().Versions[ref]
 }
 
 // remoteColdLoads returns the number of loads from the weight store that other
