watch: a removal is older than the new registration in the same answer

An endpoint that left and registered again under its id between two answers of a watch stayed unknown, and got no calls, until its next registration with a revision beyond the answer's.

Cause: events of removals have no revision of their own and were given that of the whole answer, so the registration that follows in the answer counted as older.

Change: a removal that the same answer's registration follows is one revision older than that. The order of events of other objects does not matter.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -109,12 +109,7 @@
 		}
 		rev = max(rev, next)
 		if len(changes) > 0 {
-			for i := range changes {
-				if changes[i].Object.Version == 0 {
-					// A deletion has no version of its own.
-					changes[i].Revision = rev
-				}
-			}
+			dateDeletions(changes, rev)
 			w.opts.Table.Apply(w.opts.Prefix, changes)
 		}
 		w.recordResponse()
@@ -125,6 +120,23 @@
 	return false
 }
 
+// dateDeletions sets the revisions of the deletions in an answer that is complete up to rev,
+// as they have none of their own. An object that the same answer creates anew is newer.
+func dateDeletions(changes []plank.Change, rev plank.Revision) {
+	created := make(map[string]plank.Revision)
+	for i := len(changes) - 1; i >= 0; i-- {
+		c := &changes[i]
+		if c.Object.Version > 0 {
+			created[c.Object.Key] = c.Revision
+			continue
+		}
+		c.Revision = rev
+		if r, ok := created[c.Object.Key]; ok {
+			c.Revision = r - 1
+		}
+	}
+}
+
 // handleError counts a failed call, logs it if first is set, and waits for the retry
 // delay.
 func (w *Watcher) handleError(ctx context.Context, op string, err error, first bool) {
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -91,3 +91,80 @@
 	kept := await("removed", func() bool { return !registered() }).Sub(back)
 	assert.Assert(t, kept > registerTime-slack && kept < bound, "removed %v after the return of the store", kept)
 }
+
+// A scriptedStore answers lists and watches with what the test gives it.
+type scriptedStore struct {
+	plank.Store
+	lists   chan listAnswer
+	watches chan watchAnswer
+}
+
+type listAnswer struct {
+	objects []plank.Object
+	rev     plank.Revision
+	err     error
+}
+
+type watchAnswer struct {
+	changes []plank.Change
+	rev     plank.Revision
+	err     error
+}
+
+// List implements plank.Store.
+func (s *scriptedStore) List(ctx context.Context, _, _ string) ([]plank.Object, plank.Revision, error) {
+	select {
+	case a := <-s.lists:
+		return a.objects, a.rev, a.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// Watch implements plank.Store.
+func (s *scriptedStore) Watch(ctx context.Context, _ []string, _ plank.Revision) ([]plank.Change, plank.Revision, error) {
+	select {
+	case a := <-s.watches:
+		return a.changes, a.rev, a.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// startWatcher starts a watcher of the registrations of a fixture. It watches while active
+// says so.
+func (f *fixture) startWatcher(t *testing.T, active func() bool) (*scriptedStore, *watch.Watcher) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store := &scriptedStore{lists: make(chan listAnswer), watches: make(chan watchAnswer)}
+	return store, watch.New(ctx, watch.Options{
+		Store: store, Prefix: "servers/", Table: f.table, BatchDelay: func() time.Duration { return 0 }, Active: active,
+		AwaitActive: func(ctx context.Context) bool {
+			for !active() && pause.For(ctx, time.Millisecond) {
+			}
+			return ctx.Err() == nil
+		},
+		RetryDelay: func(int) time.Duration { return 0 }, Clock: f.clock, Log: log.WithField("t", 1),
+	})
+}
+
+// Guards against an endpoint that stays unknown after it left and registered again under its
+// id between two answers of a watch: the removal counted as the newer change.
+func TestEndpointThatRegistersAnewInOneAnswerIsRemoved(t *testing.T) {
+	f := newFixture()
+	store, _ := f.startWatcher(t, func() bool { return true })
+	store.lists <- listAnswer{objects: []plank.Object{object("servers/e1", 3, plank.Instance{Service: "s", Addr: "a:1"})}, rev: 5}
+	store.watches <- watchAnswer{rev: 14, changes: []plank.Change{
+		{Object: plank.Object{Key: "servers/e1"}, Revision: 3},
+		{Object: plank.Object{Key: "servers/e2"}, Revision: 8},
+		change("servers/e1", 12, plank.Instance{Service: "s", Addr: "a:2"}),
+	}}
+	store.watches <- watchAnswer{rev: 15}
+	assert.Equal(t, f.view.Load().Instances["e1"].Addr, "a:2")
+	store.watches <- watchAnswer{rev: 16, changes: []plank.Change{{Object: plank.Object{Key: "servers/e1"}, Revision: 12}}}
+	store.watches <- watchAnswer{rev: 17}
+	assert.Assert(t, !f.has("e1"))
+}
