node: removals of endpoints are not missed while the watching VMs restart

Cause: a list becomes removals only by what the reader knew before. Watchers that have just started know nothing, so they told no removal; their peers took the news, which were recent, for complete and did not list the store. Found by reading along a run of the process test with the lines of all daemons: the two that did not restart never wrote "endpoint gone" nor watched.

Change: news say between which revisions of the store the sender knows all changes of the endpoints. A VM keeps what it knows itself; news that begin after its end do not extend it, and while no sender's news do, the VM lists the endpoints once. This works for any way in which the chain breaks (restart, handover to a VM that was behind, errors of all watchers), because a list shows its reader the removal of all that the reader knew. The list at intervals is no gap: the watch goes on from its own end.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -101,6 +101,8 @@
 	OmitEngineCalls bool
 	// Relaying is set if this VM forwards what it receives to its domain.
 	Relaying bool
+	// Followed is what the stream has last carried of the revisions that the sender follows.
+	Followed plank.Coverage
 }
 
 // Covered gives the numbers of the changes up to which a message is complete.
@@ -109,6 +111,9 @@
 	// Objects is the same for store objects. It lags behind Change while the sender's
 	// view of the store is outdated, or while the changes do not fit into a message.
 	Objects uint64
+	// Followed is what the stream has carried with this message of the revisions that the
+	// sender follows.
+	Followed plank.Coverage
 }
 
 // Self identifies this VM.
@@ -314,6 +319,9 @@
 	if g.NewsMicros >= 0 {
 		p.LastStoreResponse = received.Add(-time.Duration(g.NewsMicros) * time.Microsecond)
 	}
+	if g.FollowedUntil > 0 {
+		p.Followed = plank.Coverage{Since: plank.Revision(g.FollowedSince), Until: plank.Revision(g.FollowedUntil)}
+	}
 }
 
 // mergePeers applies what a message that arrived at now says of VMs and returns what the
--- a/internal/mesh/peer.go
+++ b/internal/mesh/peer.go
@@ -29,6 +29,9 @@
 	// LastStoreResponse is when the store last answered all of the VM's watches, or those
 	// of a VM that sends to it; zero if the VM's last message to this VM gave none.
 	LastStoreResponse time.Time
+	// Followed are the revisions between which the VM knows all changes of the endpoints.
+	// It has told this VM of them; empty if it did not say.
+	Followed plank.Coverage
 	// StoreResponseRelayed is set if LastStoreResponse is that of another VM's watches.
 	StoreResponseRelayed bool
 	// Capacity has no unit and compares VMs.
@@ -119,7 +122,7 @@
 // anew has sent nothing yet.
 func (p *Peer) identify(boot plank.BootID, domain plank.DomainID, addr string, capacity float64) {
 	if p.Boot != boot {
-		p.Boot, p.sequence, p.status, p.usages = boot, 0, nil, nil
+		p.Boot, p.sequence, p.status, p.usages, p.Followed = boot, 0, nil, nil, plank.Coverage{}
 	}
 	p.Domain, p.Address, p.Capacity = domain, addr, capacity
 }
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -238,7 +238,8 @@
 	change     uint64 // last change of the local state
 	objects    uint64 // last change of the store's objects
 	engines    uint64 // last change of the engines' states
-	addresses  int    // number of addresses sent from Mesh.addresses
+	followed   plank.Coverage
+	addresses  int // number of addresses sent from Mesh.addresses
 	records    map[plank.VMID]*sentRecord
 }
 
@@ -256,7 +257,7 @@
 	}
 	g, covered := m.local.Gossip(GossipOptions{
 		AfterChange: pos.change, AfterObjects: pos.objects, AfterEngines: pos.engines,
-		OmitEngines: to.omitEngines, SameDomain: to.domain == m.self.Domain, OmitEngineCalls: to.omitCalls, Relaying: relaying,
+		OmitEngines: to.omitEngines, SameDomain: to.domain == m.self.Domain, OmitEngineCalls: to.omitCalls, Relaying: relaying, Followed: pos.followed,
 	})
 	m.sequence++
 	g.Sequence, g.ReadsRecords, g.Relaying, g.Seeking = m.sequence, true, relaying, seeking
@@ -273,7 +274,7 @@
 		g.Addresses = slices.Clone(m.addresses[pos.addresses:])
 		pos.addresses = len(m.addresses)
 	}
-	pos.change, pos.objects = covered.Change, covered.Objects
+	pos.change, pos.objects, pos.followed = covered.Change, covered.Objects, covered.Followed
 	if !to.omitEngines {
 		pos.engines = covered.Change
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.watchPolicy = &watchPolicy{turn: make(chan struct{}), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
+	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
@@ -404,11 +404,16 @@
 	n.table.AddSink(platform.PrefixConfig, &watch.ManifestSink{Key: platform.KeyManifest, Decoder: decoder, View: n.view, Log: n.log})
 	n.table.AddSink(platform.PrefixServers, instances)
 	n.table.AddSink(platform.PrefixVersions, &watch.ReleaseSink{Decoder: decoder, View: n.view, Log: n.log})
-	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixServers, platform.PrefixVersions} {
-		n.watchPolicy.add(watch.New(ctx, watch.Options{
-			Store: n.store, Prefix: prefix, Table: n.table, BatchDelay: func() time.Duration { return n.watchPolicy.timing().batchDelay }, Active: n.watchPolicy.mustWatch, AwaitActive: n.watchPolicy.awaitTurn, RetryDelay: n.watchPolicy.retry, Clock: n.clock, Log: n.log,
-		}))
+	opts := watch.Options{
+		Store: n.store, Table: n.table, BatchDelay: func() time.Duration { return n.watchPolicy.timing().batchDelay }, RetryDelay: n.watchPolicy.retry, Clock: n.clock, Log: n.log,
+		Active: n.watchPolicy.mustWatch, AwaitActive: n.watchPolicy.awaitTurn,
 	}
+	for _, prefix := range []string{platform.PrefixConfig, platform.PrefixVersions} {
+		opts.Prefix = prefix
+		n.watchPolicy.add(watch.New(ctx, opts))
+	}
+	opts.Prefix, opts.Active, opts.AwaitActive = platform.PrefixServers, n.watchPolicy.mustFollowEndpoints, n.watchPolicy.awaitEndpointTurn
+	n.watchPolicy.addEndpoints(watch.New(ctx, opts))
 	go func() { n.watchPolicy.run(ctx) }()
 	return instances
 }
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -55,8 +55,17 @@
 	// among the live VMs of its domain.
 	watching    bool
 	rank, alive int
-	// turn is closed while this VM is to call the store.
-	turn chan struct{}
+	// turn is while this VM watches the store, and endpointTurn while it follows the
+	// endpoints there, be it for a single list.
+	turn, endpointTurn turn
+	// endpoints is the watcher of the endpoints' registrations, and covered what this VM
+	// knows of their changes, by its own watch and from peers. An endpoint whose removal
+	// lies in a gap would stay in use.
+	endpoints *watch.Watcher
+	covered   plank.Coverage
+	// mustList is set while all peers that send updates began to follow the endpoints
+	// after the end of covered, so that none of them knows which were removed before.
+	mustList bool
 	// peerUpdate is the time of the last update that a live peer received from the store
 	// and sends to this VM; zero for none.
 	peerUpdate time.Time
@@ -79,6 +88,14 @@
 	wp.watchers = append(wp.watchers, w)
 }
 
+// addEndpoints registers the watcher of the endpoints' registrations.
+func (wp *watchPolicy) addEndpoints(w *watch.Watcher) {
+	wp.add(w)
+	wp.mu.Lock()
+	defer wp.mu.Unlock()
+	wp.endpoints = w
+}
+
 // lastResponse returns the earliest of the times at which the store last answered
 // this VM's watchers. It is the zero time if one has never had an answer.
 func (wp *watchPolicy) lastResponse() time.Time {
@@ -135,14 +152,40 @@
 	return wp.watching
 }
 
-// awaitTurn waits until this VM has to call the store itself. It reports false if ctx
+// mustFollowEndpoints reports whether this VM has to call the store for the endpoints'
+// registrations.
+func (wp *watchPolicy) mustFollowEndpoints() bool {
+	wp.mu.Lock()
+	defer wp.mu.Unlock()
+	wp.updateCovered(wp.clock.Now())
+	return wp.endpointTurn.isOn
+}
+
+// followed returns the revisions between which this VM knows all changes of the endpoints'
+// registrations.
+func (wp *watchPolicy) followed() plank.Coverage {
+	wp.mu.Lock()
+	defer wp.mu.Unlock()
+	wp.addOwnCoverage()
+	return wp.covered
+}
+
+// awaitTurn waits until this VM has to watch the store itself. It reports false if ctx
 // ended.
-func (wp *watchPolicy) awaitTurn(ctx context.Context) bool {
+func (wp *watchPolicy) awaitTurn(ctx context.Context) bool { return wp.await(ctx, &wp.turn) }
+
+// awaitEndpointTurn waits until this VM has to call the store for the endpoints'
+// registrations. It reports false if ctx ended.
+func (wp *watchPolicy) awaitEndpointTurn(ctx context.Context) bool {
+	return wp.await(ctx, &wp.endpointTurn)
+}
+
+func (wp *watchPolicy) await(ctx context.Context, t *turn) bool {
 	wp.mu.Lock()
-	turn := wp.turn
+	began := t.began
 	wp.mu.Unlock()
 	select {
-	case <-turn:
+	case <-began:
 		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
@@ -169,11 +212,50 @@
 		}
 		wp.log.WithFields(fields).Info("node: whether this VM watches the store has changed")
 	}
+	listed := wp.mustList
+	wp.updateCovered(now)
+	if wp.mustList && !listed {
+		wp.log.WithFields(logrus.Fields{"since": wp.covered.Since, "until": wp.covered.Until}).Info("node: removals of endpoints may have been missed, listing them")
+	}
+	wp.turn.set(wp.watching)
+}
+
+// updateCovered adds to covered what this VM's watch and its peers know, and decides whether
+// this VM must list the endpoints. The lock is held.
+func (wp *watchPolicy) updateCovered(now time.Time) {
+	wp.addOwnCoverage()
+	updates, unbroken := false, false
+	small := wp.mesh.Size() < smallFleet
+	wp.mesh.Each(func(p *mesh.Peer) {
+		if p.Followed.IsEmpty() || p.Domain != wp.domain && !small {
+			return
+		}
+		if wp.covered.IsEmpty() {
+			wp.covered = p.Followed
+		}
+		meets := wp.covered.Meets(p.Followed)
+		if meets {
+			wp.covered = wp.covered.Union(p.Followed)
+		}
+		if p.IsAlive(now) && !p.LastStoreResponse.IsZero() {
+			updates, unbroken = true, unbroken || meets
+		}
+	})
+	wp.mustList = updates && !unbroken && !wp.watching
+	wp.endpointTurn.set(wp.watching || wp.mustList)
+}
+
+// addOwnCoverage adds to covered what this VM's watch knows. The lock is held.
+func (wp *watchPolicy) addOwnCoverage() {
+	if wp.endpoints == nil {
+		return
+	}
+	own := wp.endpoints.Covered()
 	switch {
-	case wp.watching && !before:
-		close(wp.turn)
-	case !wp.watching && before:
-		wp.turn = make(chan struct{})
+	case wp.covered.Meets(own):
+		wp.covered = wp.covered.Union(own)
+	case own.Since > wp.covered.Until:
+		wp.covered = own // the list showed what was removed in the gap
 	}
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -96,7 +96,7 @@
 
 // Gossip implements mesh.LocalState.
 func (s *state) Gossip(opts mesh.GossipOptions) (*wire.Gossip, mesh.Covered) {
-	covered := mesh.Covered{Change: s.changes.Load(), Objects: opts.AfterObjects}
+	covered := mesh.Covered{Change: s.changes.Load(), Objects: opts.AfterObjects, Followed: opts.Followed}
 	// Only lease holders need the adapters that calls use.
 	g := &wire.Gossip{NewsMicros: -1, Settled: s.limiter.Settled(), Flights: s.inFlight.Messages(!opts.OmitEngineCalls)}
 	if m := s.view.Load().Manifest; m != nil {
@@ -108,9 +108,13 @@
 	if opts.SameDomain || s.fleetSize() < smallFleet {
 		if age, relayed, ok := s.updateAge(opts.Relaying); ok {
 			g.NewsRelayed = relayed
+			followed := s.watchPolicy.followed()
 			g.Objects, covered.Objects = s.changedObjects(opts.AfterObjects, covered.Change)
 			if covered.Objects == covered.Change {
 				g.NewsMicros = age.Microseconds()
+				if covered.Followed = followed; followed != opts.Followed {
+					g.FollowedSince, g.FollowedUntil = uint64(followed.Since), uint64(followed.Until)
+				}
 			}
 		}
 	}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -42,12 +42,19 @@
 // A Watcher applies the changes of one prefix of the store to a table.
 type Watcher struct {
 	opts Options
-	// lastResponse is when the store last answered; nil for never.
-	lastResponse atomic.Pointer[time.Time]
+	// last is the store's last answer; nil for none.
+	last atomic.Pointer[response]
 	// failures is the number of consecutive failed calls. Only run's goroutine uses it.
 	failures int
 }
 
+// A response is an answer of the store that has been applied.
+type response struct {
+	at time.Time
+	// covered are the changes that the answers up to this one contained without a gap.
+	covered plank.Coverage
+}
+
 // New starts a watcher that ends with ctx.
 func New(ctx context.Context, opts Options) *Watcher {
 	l := &Watcher{opts: opts}
@@ -57,28 +64,38 @@
 
 // LastResponse returns when the store last answered; the zero time if it never did.
 func (w *Watcher) LastResponse() time.Time {
-	if t := w.lastResponse.Load(); t != nil {
-		return *t
+	if r := w.last.Load(); r != nil {
+		return r.at
 	}
 	return time.Time{}
 }
 
-// recordResponse records the time of an answer of the store. It is called once the
-// contents are in the table, since peers rely on the table being complete up to then.
-func (w *Watcher) recordResponse() {
+// Covered returns the revisions that the watcher has followed without a gap: from a list of
+// all objects to the store's last answer.
+func (w *Watcher) Covered() plank.Coverage {
+	if r := w.last.Load(); r != nil {
+		return r.covered
+	}
+	return plank.Coverage{}
+}
+
+// recordResponse records an answer of the store. It is called once the contents are in the
+// table, since peers rely on the table being complete up to then.
+func (w *Watcher) recordResponse(covered plank.Coverage) {
 	w.failures = 0
-	now := w.opts.Clock.Now()
-	w.lastResponse.Store(&now)
+	w.last.Store(&response{at: w.opts.Clock.Now(), covered: covered})
 }
 
 func (w *Watcher) run(ctx context.Context) {
 	afterOutage := false
+	// followed is the revision up to which the last watch went; 0 after a gap.
+	followed := plank.Revision(0)
 	for w.opts.AwaitActive(ctx) {
 		requestedAt := w.opts.Clock.Now()
 		objects, rev, err := w.opts.Store.List(ctx, w.opts.Prefix, "")
 		if err != nil {
 			w.handleError(ctx, "list", err, !afterOutage)
-			afterOutage = true
+			afterOutage, followed = true, 0
 			continue
 		}
 		var outageEnd time.Time
@@ -87,37 +104,48 @@
 			w.opts.Log.WithField("prefix", w.opts.Prefix).Info("watch: the store answers again")
 		}
 		w.opts.Table.ApplyList(w.opts.Prefix, objects, rev, outageEnd)
-		w.recordResponse()
-		afterOutage = w.follow(ctx, rev)
+		covered := plank.Coverage{Since: rev, Until: rev}
+		if followed > 0 {
+			// The watch goes on where it ended: an object that was created and removed
+			// since is not in the list.
+			covered.Since, rev = w.Covered().Since, min(rev, followed)
+		}
+		w.recordResponse(covered)
+		followed, afterOutage = w.follow(ctx, covered, rev)
 	}
 }
 
-// follow watches from a revision until the watch fails, a new list is due, or
-// the watcher is no longer active. It reports whether the watch failed.
-func (w *Watcher) follow(ctx context.Context, rev plank.Revision) bool {
+// follow watches from rev on until the watch fails, a new list is due, or the watcher is no
+// longer active. It returns the revision up to which it went, or 0 if a new list does
+// not follow at once, and whether the watch failed.
+func (w *Watcher) follow(ctx context.Context, covered plank.Coverage, rev plank.Revision) (followed plank.Revision, failed bool) {
 	due := w.opts.Clock.Now().Add(relistInterval)
-	for w.opts.Clock.Now().Before(due) && w.opts.Active() {
+	for w.opts.Clock.Now().Before(due) {
+		if !w.opts.Active() {
+			return 0, false
+		}
 		changes, next, err := w.opts.Store.Watch(ctx, []string{w.opts.Prefix}, rev)
 		var gone *plank.HistoryError
 		if errors.As(err, &gone) {
 			w.opts.Log.WithFields(logrus.Fields{"prefix": w.opts.Prefix, "revision": rev}).Warn("watch: history is gone, reading all anew")
-			return true
+			return 0, true
 		}
 		if err != nil {
 			w.handleError(ctx, "watch", err, true)
-			return true
+			return 0, true
 		}
 		rev = max(rev, next)
 		if len(changes) > 0 {
 			dateDeletions(changes, rev)
 			w.opts.Table.Apply(w.opts.Prefix, changes)
 		}
-		w.recordResponse()
+		covered.Until = max(covered.Until, rev)
+		w.recordResponse(covered)
 		if len(changes) > 0 {
 			pause.For(ctx, w.opts.BatchDelay())
 		}
 	}
-	return false
+	return rev, false
 }
 
 // dateDeletions sets the revisions of the deletions in an answer that is complete up to rev,
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -168,3 +168,38 @@
 	store.watches <- watchAnswer{rev: 17}
 	assert.Assert(t, !f.has("e1"))
 }
+
+// What a watcher has followed begins anew only after a gap: neither with the list that it
+// makes at intervals, after which the watch goes on where it was, nor while it is active.
+func TestCoveredBeginsAnewAfterAGap(t *testing.T) {
+	f := newFixture()
+	var active atomic.Bool
+	active.Store(true)
+	store, w := f.startWatcher(t, active.Load)
+	covered := func(since, until plank.Revision) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); w.Covered() != (plank.Coverage{Since: since, Until: until}); time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(deadline), "%+v", w.Covered())
+		}
+	}
+	store.lists <- listAnswer{rev: 5}
+	covered(5, 5)
+	f.clock.now = f.clock.now.Add(time.Minute) // a new list is due after the next answer
+	store.watches <- watchAnswer{rev: 9}
+	store.lists <- listAnswer{rev: 12}
+	covered(5, 12)
+	store.watches <- watchAnswer{rev: 15}
+	covered(5, 15)
+	store.watches <- watchAnswer{err: errors.New("away")}
+	store.lists <- listAnswer{rev: 20}
+	covered(20, 20)
+	store.watches <- watchAnswer{err: &plank.HistoryError{}}
+	store.lists <- listAnswer{rev: 24}
+	covered(24, 24)
+	active.Store(false)
+	store.watches <- watchAnswer{rev: 25}
+	covered(24, 25)
+	active.Store(true)
+	store.lists <- listAnswer{rev: 30}
+	covered(30, 30)
+}
--- a/store.go
+++ b/store.go
@@ -15,6 +15,25 @@
 	Revision Revision
 }
 
+// A Coverage is a range of the store's revisions: its changes are known without a gap. The
+// zero value is empty.
+type Coverage struct {
+	Since, Until Revision
+}
+
+// IsEmpty reports whether nothing is covered.
+func (c Coverage) IsEmpty() bool { return c.Until == 0 }
+
+// Meets reports whether there is no gap between c and o.
+func (c Coverage) Meets(o Coverage) bool {
+	return !c.IsEmpty() && !o.IsEmpty() && o.Since <= c.Until && c.Since <= o.Until
+}
+
+// Union returns what c and o cover together. They must meet.
+func (c Coverage) Union(o Coverage) Coverage {
+	return Coverage{Since: min(c.Since, o.Since), Until: max(c.Until, o.Until)}
+}
+
 // A Store is the platform's object API: versioned objects with conditional
 // updates and watches.
 //
