front: a VM that stops passes on no call that may outlast it

Ruled out: connections closed as idle, endpoints that broke off.

Cause: admission compared the arrival of the head plus four target latencies with the end of the process, not the time at which the body was whole nor the call's deadline; and at the end connections were cut whatever was in progress on them.

Change: from 2.5 s after the signal a call whose deadline lies beyond the end is refused as not run. At the end calls in progress are answered: not sent, 503; sent, 502; a stream that has begun breaks off. An attempt that ends so counts neither against its endpoint nor for a retry. This works because a call that is passed on then has its answer at its deadline at the latest, which is before the end, and no whole request meets an exit without an answer.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -91,7 +91,7 @@
 		if r == rejected {
 			skip[inst.ID] = false // the engine may hold the adapter at the next attempt
 		}
-		if !s.allowRetry(j, r) {
+		if ctx.Err() != nil || !s.allowRetry(j, r) {
 			break
 		}
 	}
@@ -133,7 +133,7 @@
 	case j.mayHaveRun:
 		return s.refuse(j.w, j.log, s.failure(ctx))
 	}
-	return s.refuse(j.w, j.log, s.noEndpoint(j, "no engine of %s has room", max(retry, noCapacityRetry)))
+	return s.refuse(j.w, j.log, s.noEndpoint(ctx, j, "no engine of %s has room", max(retry, noCapacityRetry)))
 }
 
 // refuseQuarantined ends a call one of whose prompt parts was quarantined while it waited
@@ -341,7 +341,7 @@
 			a.body, a.err = s.bodies.read(a.reply.Body)
 		}
 	}
-	a.result = s.classify(j, &a)
+	a.result = s.classify(ctx, j, &a)
 	switch {
 	case a.result == served && isStream:
 		a.result, a.err = s.relay(j, p, &a, func() {
@@ -362,10 +362,10 @@
 		res.MarkAdapterMissing()
 	case a.result == unsent:
 		res.MarkFailed(false)
-	case (a.result == broken || a.result == failed) && !stalled.Load():
+	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx):
 		res.MarkFailed(true)
 	}
-	a.healthRecorded = stalled.Load()
+	a.healthRecorded = stalled.Load() || isStopping(ctx)
 	s.recordHealth(j, &a)
 	return a.result, e
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -82,7 +82,7 @@
 			unreached++
 			continue
 		}
-		if !s.allowRetry(j, last.result) {
+		if ctx.Err() != nil || !s.allowRetry(j, last.result) {
 			break
 		}
 	}
@@ -158,7 +158,7 @@
 		defer reply.Body.Close()
 		a.body, a.err = s.bodies.read(reply.Body)
 	}
-	a.result = s.classify(j, &a)
+	a.result = s.classify(ctx, j, &a)
 	if a.result == served {
 		s.recordBegun(j, &a)
 	}
@@ -168,7 +168,7 @@
 
 // classify returns the result of an attempt and updates the call's record of its
 // attempts.
-func (s *Server) classify(j *job, a *attempt) result {
+func (s *Server) classify(ctx context.Context, j *job, a *attempt) result {
 	var sendErr *plank.SendError
 	switch {
 	case j.callerLeft():
@@ -183,6 +183,7 @@
 		return rejected
 	}
 	j.mayHaveRun = true
+	a.healthRecorded = isStopping(ctx) // an attempt that was cut says nothing of the endpoint
 	switch {
 	case a.err != nil || a.reply.Encoded || !a.reply.Stamped:
 		return broken
@@ -291,7 +292,7 @@
 		}
 		return callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case !j.mayHaveRun:
-		return s.refuse(j.w, j.log, s.noEndpoint(j, "no endpoint of %s took the call", noEndpointRetry))
+		return s.refuse(j.w, j.log, s.noEndpoint(ctx, j, "no endpoint of %s took the call", noEndpointRetry))
 	}
 	return s.refuse(j.w, j.log, s.failure(ctx))
 }
@@ -300,7 +301,10 @@
 // the time after which the caller may try again. If all endpoints want a pause, it is when the
 // first of them wants calls again, spread so that not all callers return at once, or 0 if the
 // call's deadline comes before.
-func (s *Server) noEndpoint(j *job, format string, retry time.Duration) *plank.RefusalError {
+func (s *Server) noEndpoint(ctx context.Context, j *job, format string, retry time.Duration) *plank.RefusalError {
+	if isStopping(ctx) {
+		return refuseStopping("the process ends before the call ran")
+	}
 	r := plank.Refuse(plank.CodeNoEndpoint, format, j.service)
 	r.RetryAfter = retry
 	if until := s.deps.Chooser.pauseEnd(j.service); !until.IsZero() {
@@ -320,6 +324,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &plank.RefusalError{Code: plank.CodeDeadlineExceeded, Ran: plank.Unknown, Detail: "no answer in time"}
 	}
+	if isStopping(ctx) {
+		return &plank.RefusalError{Code: plank.CodeNotReady, Ran: plank.Unknown, Detail: "the process ends before the endpoint answered"}
+	}
 	return &plank.RefusalError{Code: plank.CodeEndpoint, Ran: plank.Unknown, Detail: "the endpoint broke off"}
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,10 +22,6 @@
 // otherVMRetry is the Retry-After time of calls that should go to another VM.
 const otherVMRetry = 20 * time.Millisecond
 
-// typicalDurationFactor is the longest usual duration of a call, as a multiple of its
-// route's target.
-const typicalDurationFactor = 4
-
 // notReadyRetry is the Retry-After time of a VM without a configuration.
 const notReadyRetry = 500 * time.Millisecond
 
@@ -42,10 +39,11 @@
 	Parts    *poison.PartTable
 	InFlight *InFlight
 	Sender   plank.Sender
-	// StopTime returns when the process will end. It returns the zero time
-	// until draining begins, after which calls that could outlast the process
-	// are refused.
+	// StopTime returns when Stopping ends. It returns the zero time until draining
+	// begins, after which calls that could last longer are refused.
 	StopTime func() time.Time
+	// Stopping ends shortly before the process does: calls in progress are then answered.
+	Stopping context.Context
 	// IsDown reports whether an endpoint accepts no connections. It is called after
 	// an attempt was broken off.
 	IsDown  func(inst plank.Instance) bool
@@ -108,6 +106,8 @@
 	j.callerLeft = func() bool { return caller.Err() != nil }
 	ctx, cancel := context.WithDeadline(caller, j.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer context.AfterFunc(s.deps.Stopping, func() { end(&stoppingError{}) })()
 	var e callEnd
 	if j.pool != nil {
 		e = s.serveModel(ctx, j)
@@ -161,10 +161,8 @@
 		j.deadline = call.Deadline
 	}
 	j.target = call.Arrived.Add(route.TargetLatency)
-	if stopTime := s.deps.StopTime(); !stopTime.IsZero() && (j.pool != nil || call.Arrived.Add(typicalDurationFactor*route.TargetLatency).After(stopTime)) {
-		r := plank.Refuse(plank.CodeNotReady, "the process ends before the call could")
-		r.RetryAfter = otherVMRetry
-		return nil, r
+	if stopTime := s.deps.StopTime(); !stopTime.IsZero() && (j.pool != nil || j.deadline.After(stopTime)) {
+		return nil, refuseStopping("the process ends before the call could")
 	}
 	j.fingerprint = fingerprint(call, j.workspaceID())
 	if e, ok := s.deps.Poison.Lookup(j.fingerprint); ok && e.Quarantined {
@@ -176,6 +174,26 @@
 	return j, s.takeQuota(j)
 }
 
+// A stoppingError reports that a call was ended because the process ends.
+type stoppingError struct{}
+
+// Error implements error.
+func (*stoppingError) Error() string { return "the process ends" }
+
+// isStopping reports whether a call's context ended because the process ends.
+func isStopping(ctx context.Context) bool {
+	var stopping *stoppingError
+	return errors.As(context.Cause(ctx), &stopping)
+}
+
+// refuseStopping returns the refusal of a call that has not run and cannot before the process
+// ends.
+func refuseStopping(detail string) *plank.RefusalError {
+	r := plank.Refuse(plank.CodeNotReady, "%s", detail)
+	r.RetryAfter = otherVMRetry
+	return r
+}
+
 // checkParts refuses a call if a part of its prompt is quarantined.
 func (s *Server) checkParts(j *job) *plank.RefusalError {
 	if q, ok := s.deps.Parts.Lookup(j.call.Parts); ok {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -98,7 +98,7 @@
 		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
 		Chooser: &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock}, Budgets: front.NewBudgets(0.2, 10),
 		Health: h.health, Poison: poison.New(clock, nil), Parts: h.parts,
-		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} },
+		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} }, Stopping: context.Background(),
 		IsDown: func(plank.Instance) bool { return false }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	return h
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,9 @@
 	callerListener *idle.Listener
 	stopping       atomic.Bool               // the VM reports that it is not ready
 	closing        atomic.Bool               // connections are closed after each answer
-	exitAt         atomic.Pointer[time.Time] // end of the process; nil while long calls are accepted
+	exitAt         atomic.Pointer[time.Time] // when calls are ended; nil while long calls are accepted
+	calls          context.Context           // ends when calls are ended
+	endCalls       context.CancelFunc
 }
 
 // New starts a daemon. dropped returns the number of log lines that were lost.
@@ -105,6 +107,7 @@
 		settings: settings, boot: newBoot(), clock: plank.SystemClock{}, cancel: cancel,
 		log: log.WithField("vm", settings.VM), registry: metrics.NewRegistry(),
 	}
+	n.calls, n.endCalls = context.WithCancel(context.Background())
 	n.buildState()
 	n.buildClients()
 	n.buildMesh(ctx, settings.ControlAddr)
@@ -316,7 +319,7 @@
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Limiter: n.limiter, Budgets: n.budgets,
 		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
-		StopTime: n.exitTime, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
+		StopTime: n.exitTime, Stopping: n.calls, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.callerListener = idle.Wrap(callers)
 	n.callerServer = &http.Server{
@@ -341,8 +344,8 @@
 	}()
 }
 
-// exitTime returns the time at which the process ends, or the zero time while
-// long calls are accepted.
+// exitTime returns the time at which the calls in progress are ended, or the zero time
+// while long calls are accepted.
 func (n *Node) exitTime() time.Time {
 	if t := n.exitAt.Load(); t != nil {
 		return *t
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -15,8 +15,10 @@
 	drainDelay = 2500 * time.Millisecond
 	// idleCloseInterval is the interval at which idle connections are closed.
 	idleCloseInterval = 50 * time.Millisecond
-	// exitMargin is how long the process ends before the platform kills it.
+	// exitMargin is how long before the platform kills the process the calls in progress
+	// are ended, and answerTime how long the process then stays for their answers.
 	exitMargin = 500 * time.Millisecond
+	answerTime = 250 * time.Millisecond
 	// minGrace is the shortest grace period, used if the platform sets none.
 	minGrace = 5 * time.Second
 )
@@ -37,13 +39,27 @@
 	if err := n.callerListener.Close(); err != nil {
 		n.log.WithError(err).Warn("node: closing the listener failed")
 	}
-	for n.callerListener.CloseIdle() > 0 {
-		if !pause.For(ctx, idleCloseInterval) {
-			n.log.WithField("connections", n.callerListener.CloseIdle()).Warn("node: calls still in progress at the end of the grace period")
-			break
+	if !n.closeIdle(ctx) {
+		n.log.WithField("connections", n.callerListener.CloseIdle()).Warn("node: calls still in progress at the end of the grace period")
+		n.endCalls()
+		answering, cancel := context.WithTimeout(context.Background(), answerTime)
+		defer cancel()
+		if !n.closeIdle(answering) {
+			n.log.WithField("connections", n.callerListener.CloseIdle()).Warn("node: cutting connections on which no whole request or a stream is in progress")
 		}
 	}
 	n.cancel()
 	n.transport.Close()
 	n.log.Info("node: stopped")
 }
+
+// closeIdle closes the callers' connections as they become idle. It reports false if some were
+// busy when ctx ended.
+func (n *Node) closeIdle(ctx context.Context) bool {
+	for n.callerListener.CloseIdle() > 0 {
+		if !pause.For(ctx, idleCloseInterval) {
+			return false
+		}
+	}
+	return true
+}
