platform: an odd object of the store does not hide the others of its list

Cause: answers of the store were decoded as a whole, and encoding/json refuses an answer that holds a value beyond 10,000 levels, also as raw bytes. The watcher took that for a store that does not answer.

Change: answers are split into their objects by brackets and strings alone, and only the metadata, the store's own, are decoded; specs stay bytes until their decoder refuses that one object. This works because no part of reading a list looks into what other writers chose. Lists, watches and single reads alike.

platform: TestOddEntryStopsTheFollowingOfItsList fails before (no call to a new endpoint within 2 s) and passes now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,6 +180,9 @@
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: 20 * time.Second}
 	n.store = platform.NewStore(n.settings.StoreAddr, &http.Client{Transport: transport}, platform.StoreOptions{
 		CallTimeout: storeTimeout, TransferTimeout: transferTimeout, WatchWait: func() time.Duration { return n.watchPolicy.timing().wait }, WatchGrace: watchGrace,
+		OnUnreadable: func(err error) {
+			n.log.WithError(err).Warn("node: ignored an object of the store without readable metadata")
+		},
 		OnCall: func(op string, status int, err error) {
 			name := "Store." + op
 			if err != nil {
