front: a caller that has half-closed its connection is sent no success

Cause: Handle returned without an answer for a caller that had left, and net/http completed the answer by itself. Only answers that had broken off were aborted.

Change: both are aborted. This works because a handler that aborts makes net/http close the connection without the end of the answer; the close promises nothing.

Also a log message reworded.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -121,7 +121,9 @@
 		log = log.WithField("first_ms", j.firstEventAt.Sub(call.Arrived).Milliseconds())
 	}
 	s.finish(call, log, e)
-	if e.outcome == outcomeBroken {
+	if e.outcome == outcomeBroken || e.outcome == outcomeLeft {
+		// Otherwise the HTTP server would complete the answer. A caller that has ended
+		// only its own side of the connection still reads.
 		w.Abort()
 	}
 }
--- a/internal/mesh/send.go
+++ b/internal/mesh/send.go
@@ -234,12 +234,12 @@
 
 // A position records what a stream has carried.
 type position struct {
-	identified bool   // the sender's identity was sent
-	change     uint64 // last change of the local state
-	objects    uint64 // last change of the store's objects
-	engines    uint64 // last change of the engines' states
-	followed   plank.Coverage
-	addresses  int // number of addresses sent from Mesh.addresses
+	identified bool           // the sender's identity was sent
+	change     uint64         // last change of the local state
+	objects    uint64         // last change of the store's objects
+	engines    uint64         // last change of the engines' states
+	followed   plank.Coverage // revisions that this VM follows
+	addresses  int            // number of addresses sent from Mesh.addresses
 	records    map[plank.VMID]*sentRecord
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -45,7 +45,7 @@
 		answering, cancel := context.WithTimeout(context.Background(), answerTime)
 		defer cancel()
 		if !n.closeIdle(answering) {
-			n.log.WithField("connections", n.callerListener.CloseIdle()).Warn("node: cutting connections on which no whole request or a stream is in progress")
+			n.log.WithField("connections", n.callerListener.CloseIdle()).Warn("node: cutting connections that are still busy")
 		}
 	}
 	n.cancel()
