conns: a request that is given up does not reach its endpoint later

At the deadline the connection was closed, but a closed connection still delivers what was written to it, by sending it again.

Change: a connection whose request has no whole answer is reset when it is given up.

conns: TestAbandonedRequestIsDeliveredLater fails in its three cases before.

--- a/internal/conns/body.go
+++ b/internal/conns/body.go
@@ -34,7 +34,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		b.finish(b.reusable)
+		b.finish(true)
 	} else if err != nil {
 		b.finish(false)
 	}
@@ -47,16 +47,19 @@
 	return nil
 }
 
-// finish returns the connection to the pool if keep is set and it can be reused,
-// and closes it otherwise.
-func (b *body) finish(keep bool) {
+// finish returns the connection to the pool if the answer is whole and the connection can be
+// reused, and closes it otherwise.
+func (b *body) finish(whole bool) {
 	b.once.Do(func() {
 		ctxEnded := !b.stopWatch()
-		if keep && !ctxEnded && b.isWritten() && b.conn.isIdle() {
+		switch {
+		case !whole:
+			b.conn.abandon()
+		case b.reusable && !ctxEnded && b.isWritten() && b.conn.isIdle():
 			b.pool.put(b.key, b.conn, b.header)
-			return
+		default:
+			b.conn.Close()
 		}
-		b.conn.Close()
 	})
 }
 
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -128,17 +128,17 @@
 		}
 	}
 	c.record(r.ID)
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.abandon)
 	written, err := c.write(r)
 	if err != nil {
 		stop()
-		c.Close()
+		c.abandon()
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "write", Sent: true, Err: err}
 	}
 	resp, stray, err := c.read(r)
 	if err != nil {
 		stop()
-		c.Close()
+		c.abandon()
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "read", Sent: true, Err: err}
 	}
 	if p.opts.OnAnswer != nil {
@@ -239,6 +239,16 @@
 	}
 }
 
+// abandon closes the connection with a request on it whose answer is not whole. It resets the
+// connection, so that bytes that have not arrived are discarded: after a partition they would
+// reach the endpoint seconds after the caller was answered.
+func (c *conn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	c.Close()
+}
+
 // record adds the ID of a request that is sent on the connection.
 func (c *conn) record(id plank.RequestID) {
 	if id == "" {
--- a/internal/conns/pool_test.go
+++ b/internal/conns/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -145,3 +146,47 @@
 	assert.Assert(t, errors.As(err, &send))
 	assert.Assert(t, send.Refused && !send.Sent)
 }
+
+// Guards against a request that reaches its endpoint after its caller has been answered: a
+// connection that was closed with bytes held up by a partition delivered them seconds later. Only a
+// reset discards them.
+func TestAbandonedRequestIsDeliveredLater(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer string // of the endpoint, before the request ends
+		use    func(t *testing.T, resp *http.Response, err error)
+	}{
+		{"no answer", "", func(t *testing.T, _ *http.Response, err error) { assert.Assert(t, err != nil) }},
+		{"answer that is not read to its end", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", func(t *testing.T, resp *http.Response, err error) {
+			assert.NilError(t, err)
+			resp.Body.Close()
+		}},
+		{"malformed answer", "no answer\r\n\r\n", func(t *testing.T, _ *http.Response, err error) { assert.Assert(t, err != nil) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer ln.Close()
+			ended := make(chan error, 1)
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				defer c.Close()
+				if _, err := io.WriteString(c, test.answer); err != nil {
+					ended <- err
+					return
+				}
+				_, err = io.Copy(io.Discard, c)
+				ended <- err
+			}()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			resp, err := newPool().Do(ctx, conns.Key{Addr: ln.Addr().String(), Endpoint: "e"}, conns.Request{Method: "GET", Head: []byte("GET / HTTP/1.1\r\n\r\n")})
+			test.use(t, resp, err)
+			assert.ErrorIs(t, <-ended, syscall.ECONNRESET)
+		})
+	}
+}
