--- a/call.go
+++ b/call.go
@@ -33,6 +33,9 @@
 	HasTokens                     bool
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []PartID
+	// PromptParts are all parts of the prompt with their lengths, in order. The last one
+	// belongs to the call or to its session.
+	PromptParts []PromptPart
 	// Hint is the caller's estimate of the output's length; 0 if there is none.
 	Hint Tokens
 	// LastEvent is the id of the last stream event that the caller has received.
@@ -40,6 +43,13 @@
 	LastEvent string
 }
 
+// A PromptPart is a part of a prompt. An engine that keeps it for the same adapter, and all
+// parts before it, does not process it again.
+type PromptPart struct {
+	ID     PartID
+	Tokens Tokens
+}
+
 // A Head is the status code and header of an answer.
 type Head struct {
 	Status int
--- a/fleet.go
+++ b/fleet.go
@@ -39,6 +39,9 @@
 	// number that it runs at once. They are valid if HasLoad is set.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the endpoint's machine at this moment, relative to the
+	// usual time; 0 if the endpoint does not state it.
+	Pace float64
 	// Body must be closed. Closing it before its end aborts the call.
 	Body io.ReadCloser
 }
@@ -50,6 +53,10 @@
 	// PausedUntil is the end of the time in which the endpoint wants no requests of this
 	// VM; zero if it states none.
 	PausedUntil time.Time
+	// HasCold is set when the endpoint states how much longer it is cold, and ColdUntil is
+	// when it is warm.
+	HasCold   bool
+	ColdUntil time.Time
 }
 
 // A SendError reports that a call got no usable answer.
--- a/instance.go
+++ b/instance.go
@@ -19,6 +19,9 @@
 	Bases []BaseID
 	// Seq is the number of orders that the engine had accepted.
 	Seq uint64
+	// ColdUntil is when the endpoint is expected to be warm, by what it said of itself;
+	// zero if it is warm. A cold endpoint tolerates only Service.ColdRate.
+	ColdUntil time.Time
 }
 
 // A Run identifies one run of an endpoint.
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -98,6 +98,10 @@
 	PrefillRate            float64      // recent prompt tokens a second
 	KVUsed, KVCapacity     plank.Tokens // of the KV cache
 	FailRate               float64      // fraction of recent calls that failed
+	// Kept is how many tokens of the call's prompt the engine keeps from earlier calls.
+	Kept plank.Tokens
+	// Pace is how long work takes on the engine, relative to the usual time; 0 if not known.
+	Pace float64
 	// Avoid is set for an engine to be chosen only if there is no other.
 	Avoid  bool
 	Remote bool // in another failure domain
@@ -108,13 +112,17 @@
 	Adapter plank.AdapterRef
 	Prompt  plank.Tokens
 	Output  plank.Tokens // expected
+	// Parts are the parts of the prompt, in order.
+	Parts []plank.PromptPart
+	// MaxGap is the longest pause between events that is not late; 0 for no limit.
+	MaxGap time.Duration
 	// Target is the time left until the first token is late.
 	Target time.Duration
 }
 
 // TimeToFirstToken returns the expected time to the first token on an engine.
 func TimeToFirstToken(e *Engine, c Call) time.Duration {
-	d := prefillDuration(e.Backlog + c.Prompt)
+	d := e.prefillTime(e.Backlog + e.unread(c))
 	d += time.Duration(e.Running) * runningCallCost
 	d += time.Duration(e.Queued) * queuedCallCost
 	d += time.Duration(e.FailRate * float64(failCost))
@@ -133,6 +141,18 @@
 	return d
 }
 
+// unread returns how many tokens of the call's prompt the engine has to process.
+func (e *Engine) unread(c Call) plank.Tokens { return max(0, c.Prompt-e.Kept) }
+
+// prefillTime returns how long the engine takes to process n prompt tokens.
+func (e *Engine) prefillTime(n plank.Tokens) time.Duration {
+	d := prefillDuration(n)
+	if e.Pace > 0 {
+		d = time.Duration(e.Pace * float64(d))
+	}
+	return d
+}
+
 // loadTime returns the expected wait until the call's adapter is resident in its
 // newest version.
 func loadTime(e *Engine) time.Duration {
@@ -175,7 +195,7 @@
 	if late := ttft - time.Duration(slackFraction*float64(c.Target)); late > 0 {
 		cost += lateFactor * late
 	}
-	cost += time.Duration(interferenceWeight * float64(min(e.Running, maxInterference)) * float64(prefillDuration(c.Prompt)))
+	cost += time.Duration(interferenceWeight * float64(min(e.Running, maxInterference)) * float64(e.prefillTime(e.unread(c))))
 	cost += time.Duration(decodeWeight * float64(decodeTime(e, c)))
 	if c.Adapter.Name != "" && e.loadsFromStore() {
 		cost += storeLoadCost
--- a/manifest.go
+++ b/manifest.go
@@ -74,6 +74,11 @@
 	MaxConns int
 	// Pool is set for services of model engines.
 	Pool *EnginePool
+	// ColdTime is how long an endpoint is cold after it starts during traffic, and ColdRate
+	// the requests a second that it tolerates meanwhile. With a ColdRate of 0 the endpoints
+	// of the service are never cold.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // An EnginePool describes the engines of a service, all of which have the same
@@ -83,6 +88,8 @@
 	KVCapacity  Tokens  // size of the key-value cache
 	MaxAdapters int     // number of adapter slots; adapters being loaded take one too
 	WeightsMB   float64 // memory for weights
+	// EventTokens is the number of tokens in an event of a stream; 0 if not stated.
+	EventTokens Tokens
 	// LoadsPerSecond is the rate of loads that the weight store allows for all
 	// engines together.
 	LoadsPerSecond float64
