limit: calls of a workspace near its limit are admitted by urgency, and wait for their turn

Cause: on 19 observed VMs 216 of 461 refusals in six seconds were due to pacing alone, with more tokens available than the call cost, and urgent calls were refused with the others. A gap after one long call held back short calls for up to 3 s.

An engine loads first the adapter that most calls of the first priority wait for.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -98,7 +98,7 @@
 // Handle implements plank.CallHandler.
 func (s *Server) Handle(caller context.Context, call *plank.Call, w plank.AnswerWriter) {
 	log := s.deps.Log.WithField("request", call.ID)
-	j, refusal := s.admit(call, w, log)
+	j, refusal := s.admit(caller, call, w, log)
 	if refusal != nil {
 		s.finish(call, log, s.refuse(w, log, refusal))
 		return
@@ -137,7 +137,7 @@
 )
 
 // admit checks a call and takes its cost from its workspace's limit.
-func (s *Server) admit(call *plank.Call, w plank.AnswerWriter, log *logrus.Entry) (*job, *plank.RefusalError) {
+func (s *Server) admit(ctx context.Context, call *plank.Call, w plank.AnswerWriter, log *logrus.Entry) (*job, *plank.RefusalError) {
 	v := s.deps.View.Load()
 	if v.Manifest == nil {
 		r := plank.Refuse(plank.CodeNotReady, "no configuration is known yet")
@@ -173,7 +173,7 @@
 	if r := s.checkParts(j); r != nil {
 		return nil, r
 	}
-	return j, s.takeQuota(j)
+	return j, s.takeQuota(ctx, j)
 }
 
 // A stoppingError reports that a call was ended because the process ends.
@@ -204,22 +204,36 @@
 	return nil
 }
 
+// turnFraction is the part of its target for which a call may wait until the pacing of its
+// workspace admits it. The rest is left for the endpoint.
+const turnFraction = 0.25
+
 // takeQuota takes the call's cost from its workspace's limit, or refuses the call.
-func (s *Server) takeQuota(j *job) *plank.RefusalError {
+func (s *Server) takeQuota(ctx context.Context, j *job) *plank.RefusalError {
 	if j.workspace == nil {
 		return nil
 	}
 	j.cost = cost(j.call, j.workspace)
-	ok, wait := s.deps.Limiter.Take(j.workspace.ID, j.cost)
+	until := j.call.Arrived.Add(time.Duration(turnFraction * float64(j.route.TargetLatency)))
+	decision := s.deps.Limiter.AdmitInTurn(ctx, j.workspace.ID, limit.Demand{Cost: j.cost, Priority: j.priority}, until)
 	level, reachable := s.deps.Limiter.Level(j.workspace.ID)
-	j.log.WithFields(logrus.Fields{
-		"workspace": j.workspace.ID, "cost": j.cost, "tokens_left": int(level), "reach": reachable, "manifest": j.view.Manifest.Version, "ok": ok,
-	}).Info("front: admission")
-	if ok {
+	fields := logrus.Fields{
+		"workspace": j.workspace.ID, "cost": j.cost, "tokens_left": int(level), "reach": reachable, "manifest": j.view.Manifest.Version, "ok": decision.Admitted,
+	}
+	if decision.Waited > 0 {
+		fields["turn_ms"] = decision.Waited.Milliseconds()
+		metrics.GetOrRegisterTimer("Front.TurnWait", s.deps.Metrics).Update(decision.Waited)
+	}
+	if decision.Paced && !decision.Admitted {
+		fields["paced"] = true
+		metrics.GetOrRegisterCounter("Front.RefusedPaced", s.deps.Metrics).Inc(1)
+	}
+	j.log.WithFields(fields).Info("front: admission")
+	if decision.Admitted {
 		return nil
 	}
 	r := plank.Refuse(plank.CodeRateLimited, "the workspace %s is at its limit", j.workspace.ID)
-	r.RetryAfter = wait
+	r.RetryAfter = decision.Wait
 	return r
 }
 
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -191,6 +191,7 @@
 	unresponsive    bool      // the engine does not respond
 	noLoadsUntil    time.Time // end of the pause after a conflict
 	adoptedAt       time.Time // when this VM became the holder
+	contended       bool      // loads are ordered by their value
 	busy            bool      // an action is in progress
 	coldOrder       bool      // the action is a cold load
 	// coldLoadTook is how long the cold load took whose end the last order's response
@@ -213,7 +214,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, contended: deps.Contended, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -95,3 +95,6 @@
 
 // Adjust changes the limit if it is time.
 func (c *ColdLimiter) Adjust(inProgress int, now time.Time) { c.adjust(inProgress, now) }
+
+// SetContended sets whether loads are ordered by their value.
+func (e *Engine) SetContended(on bool) { e.contended = on }
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -76,7 +76,11 @@
 	if e.loadingCount() >= maxLoading || now.Before(e.noLoadsUntil) {
 		return nil
 	}
-	for _, res := range e.queue {
+	queue := e.queue
+	if e.contended {
+		queue = e.byLoadValue(now)
+	}
+	for _, res := range queue {
 		if res.Adapter.Name == "" || !e.bases[res.Adapter.Base] {
 			continue
 		}
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -48,6 +48,8 @@
 	// RemoteColdLoads returns the number of cold loads that other VMs have in
 	// progress.
 	RemoteColdLoads func() int
+	// Contended is set if loads go first to the calls that gain most by them.
+	Contended bool
 	// Health returns the fraction of an engine's recent calls that failed, and
 	// whether the engine should get no calls.
 	Health func(plank.EndpointID) (failRate float64, avoid bool)
--- a/internal/limit/gossip_limiter.go
+++ b/internal/limit/gossip_limiter.go
@@ -65,8 +65,10 @@
 	// messageInterval is the mean time between two messages of a VM, and until they
 	// arrive.
 	messageInterval time.Duration
-	entries         map[plank.WorkspaceID]*workspaceState
-	peers           map[plank.VMID]*peerUsage
+	// contended is set if calls near a limit are admitted by urgency.
+	contended bool
+	entries   map[plank.WorkspaceID]*workspaceState
+	peers     map[plank.VMID]*peerUsage
 }
 
 // A workspaceState is the limit of a workspace and what is known of its use.
@@ -90,9 +92,12 @@
 	// they do not starve large calls while a workspace is at its limit.
 	pendingCost  float64
 	pendingUntil time.Time
-	updated      time.Time
-	total        float64 // tokens admitted by this VM since its start
-	lastChange   uint64  // number of the last change of total
+	// pendingPriority is the priority of that call, in a contended fleet.
+	pendingPriority int
+	contention      contention
+	updated         time.Time
+	total           float64 // tokens admitted by this VM since its start
+	lastChange      uint64  // number of the last change of total
 }
 
 // A peerUsage is what another VM reported.
@@ -197,8 +202,8 @@
 // refill advances an entry to now. The lock is held.
 func (g *GossipLimiter) refill(e *workspaceState, now time.Time) {
 	seconds := max(0, now.Sub(e.updated).Seconds())
+	decay := expDecay(now.Sub(e.updated), useDecayTime)
 	e.updated = now
-	decay := math.Exp(-seconds / useDecayTime.Seconds())
 	e.ownUse *= decay
 	e.othersUse *= decay
 	e.level = min(e.level+e.rate*g.reachableFraction*seconds, max(e.level, e.burst*g.reachableFraction))
@@ -217,24 +222,30 @@
 	}
 	now := g.clock.Now()
 	g.refill(e, now)
+	d := g.take(e, float64(cost), now)
+	return d.Admitted, d.Wait
+}
+
+// take admits a call of the given cost, whatever its urgency. The lock is held.
+func (g *GossipLimiter) take(e *workspaceState, cost float64, now time.Time) Decision {
 	if !now.Before(e.pendingUntil) {
 		e.pendingCost = 0
 	}
 	// A call that costs more than the burst is admitted at a full level.
-	need := min(max(float64(cost), e.pendingCost), e.burst*g.reachableFraction)
+	need := min(max(cost, e.pendingCost), e.burst*g.reachableFraction)
 	if e.level >= need {
 		if now.Before(e.nextAdmission) {
-			return false, e.nextAdmission.Sub(now)
+			return Decision{Wait: e.nextAdmission.Sub(now)}
 		}
-		e.nextAdmission = now.Add(g.pacingDelay(e, float64(cost)))
-		g.charge(e, float64(cost))
-		return true, 0
+		e.nextAdmission = now.Add(g.pacingDelay(e, cost))
+		g.charge(e, cost)
+		return Decision{Admitted: true}
 	}
 	wait := time.Duration((need - e.level) / (e.rate * g.reachableFraction) * float64(time.Second))
-	if float64(cost) >= e.pendingCost {
-		e.pendingCost, e.pendingUntil = float64(cost), now.Add(wait+pendingGrace)
+	if cost >= e.pendingCost {
+		e.pendingCost, e.pendingUntil = cost, now.Add(wait+pendingGrace)
 	}
-	return false, wait
+	return Decision{Wait: wait}
 }
 
 // pacingDelay returns the time after a call until the next may be admitted, so
@@ -250,11 +261,22 @@
 	if paced <= 0 {
 		return 0
 	}
+	return time.Duration(paced * cost / (g.ownPart(e) * e.rate * g.reachableFraction) * float64(time.Second))
+}
+
+// ownPart returns this VM's part of a workspace's rate: that of its recent use, and an equal
+// one at least. The lock is held.
+func (g *GossipLimiter) ownPart(e *workspaceState) float64 {
 	part := 1 / float64(g.reachableVMs)
 	if used := e.ownUse + e.othersUse; used > 0 {
 		part = max(part, e.ownUse/used)
 	}
-	return time.Duration(paced * cost / (part * e.rate * g.reachableFraction) * float64(time.Second))
+	return part
+}
+
+// expDecay returns the factor by which a quantity decays in d with a time constant.
+func expDecay(d, constant time.Duration) float64 {
+	return math.Exp(-max(0, d.Seconds()) / constant.Seconds())
 }
 
 // Refund returns the cost of a call that did not run.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,7 @@
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
+	n.limiter.SetContended(n.settings.Contended)
 	n.poison = poison.New(n.clock, n.state.setSuspect)
 	n.parts = poison.NewPartTable(n.clock, n.state.setObservations, n.quarantineChanged)
 	n.state.view, n.state.limiter, n.state.poison, n.state.parts = n.view, n.limiter, n.poison, n.parts
@@ -236,7 +237,7 @@
 	n.health = health.New(n.clock)
 	n.scheduler = grant.NewScheduler(ctx, grant.Deps{
 		Self: n.settings.VM, Controller: platform.NewEngineController(n.pool), Evictor: place.LowestValue{}, Clock: n.clock, Log: n.log,
-		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
+		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, Contended: n.settings.Contended, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		PausedUntil:    n.health.PausedUntil,
 		InUseElsewhere: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
