--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -56,18 +56,20 @@
 }
 
 // isAvailable reports whether calls may be sent to an endpoint that was chosen or granted
-// some time ago: it is registered, does not leave and wants no pause.
+// some time ago: it is registered, does not leave, wants no pause and is not out of service.
 func (c *Chooser) isAvailable(inst plank.Instance) bool {
 	current, ok := c.View.Load().Instances[inst.ID]
-	return ok && current.Run() == inst.Run() && !current.Leaving && !c.Health.IsPaused(inst.Run())
+	return ok && current.Run() == inst.Run() && !current.Leaving && !c.Health.IsPaused(inst.Run()) && !c.isOut(inst)
 }
 
 // pauseEnd returns the first time at which an endpoint of a service wants requests again. It
-// returns the zero time unless all that are registered and do not leave want none now.
+// returns the zero time unless all that are registered, do not leave and are not out of service
+// want none now.
 func (c *Chooser) pauseEnd(service plank.ServiceID) time.Time {
 	var first time.Time
-	for _, inst := range c.View.Load().Endpoints(service) {
-		if inst.Leaving {
+	v := c.View.Load()
+	for _, inst := range v.Endpoints(service) {
+		if inst.Leaving || v.IsOut(inst) {
 			continue
 		}
 		until := c.Health.PausedUntil(inst.Run())
@@ -96,6 +98,7 @@
 // exclusions counts the endpoints of a service that a choice left out.
 type exclusions struct {
 	leaving, paused int
+	outOfService    int
 }
 
 // add counts an endpoint if it leaves or wants a pause, and reports whether it does.
@@ -119,6 +122,9 @@
 	if x.paused > 0 {
 		fields["paused"] = x.paused
 	}
+	if x.outOfService > 0 {
+		fields["out_of_service"] = x.outOfService
+	}
 }
 
 // logFields returns the log fields of a choice.
@@ -135,13 +141,13 @@
 // Choose returns the engine of a service with the least expected cost for call. It
 // reports false if there is none outside skip.
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
-	v := c.View.Load()
+	v, now := c.View.Load(), c.Clock.Now()
 	newest := v.Versions[call.Adapter]
 	var engines []pick.Engine
 	var states []mesh.Engine
 	var choice Choice
 	for _, inst := range v.Endpoints(service) {
-		if choice.excluded.add(inst, c.Health) {
+		if choice.excluded.addOut(inst, v) || choice.excluded.add(inst, c.Health) {
 			continue
 		}
 		state, alive := c.Mesh.Engine(inst.ID)
@@ -157,7 +163,7 @@
 		} else {
 			state = mesh.Engine{}
 		}
-		e.Avoid = e.Avoid || !e.StateKnown
+		e.Avoid = e.Avoid || !e.StateKnown || v.HoldsBack(inst, call.Hash, now)
 		engines = append(engines, e)
 		states = append(states, state)
 	}
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/evac"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
@@ -54,13 +55,15 @@
 func (s *Server) serveModel(ctx context.Context, j *job) callEnd {
 	s.deps.Budgets.Of(j.service).AddRequest()
 	p := &progress{lastID: j.call.LastEvent, order: sse.NewSequenceChecker(j.call.LastEvent)}
-	paused := func() bool { return !s.deps.Chooser.pauseEnd(j.service).IsZero() }
-	if !paused() {
+	unusable := func() bool {
+		return !s.deps.Chooser.pauseEnd(j.service).IsZero() || s.deps.Chooser.isAllOut(j.service)
+	}
+	if !unusable() {
 		s.awaitHolder(ctx, j)
 	}
 	skip := make(map[plank.EndpointID]bool)
 	retry := time.Duration(0)
-	for n := 0; n < maxReservations && !paused(); n++ {
+	for n := 0; n < maxReservations && !unusable(); n++ {
 		inst, res, err := s.reserve(ctx, j, skip)
 		if err != nil {
 			retry = err.RetryAfter
@@ -75,7 +78,7 @@
 			return s.refuseQuarantined(j, p, refusal)
 		}
 		if !s.deps.Chooser.isAvailable(inst) {
-			j.log.WithField("endpoint", inst.ID).Info("front: the granted engine leaves, is gone or wants a pause")
+			j.log.WithField("endpoint", inst.ID).Info("front: the granted engine leaves, is gone, wants a pause or is out of service")
 			res.Release()
 			skip[inst.ID] = true
 			continue
@@ -150,7 +153,7 @@
 
 // pickCall returns the call with its expected output, for the selection of an engine.
 func (j *job) pickCall() pick.Call {
-	call := pick.Call{Adapter: j.call.Adapter, Prompt: j.call.PromptTokens, Output: defaultOutputFraction * j.call.MaxOutputTokens}
+	call := pick.Call{Adapter: j.call.Adapter, Prompt: j.call.PromptTokens, Output: defaultOutputFraction * j.call.MaxOutputTokens, Hash: evac.CallHash(j.call.ID)}
 	if j.call.Hint > 0 {
 		call.Output = min(j.call.Hint, j.call.MaxOutputTokens)
 	}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/evac"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
 )
@@ -116,13 +117,14 @@
 	})
 	var replicas []pick.Replica
 	var excluded exclusions
-	for _, inst := range s.deps.View.Load().Endpoints(j.service) {
-		if excluded.add(inst, s.deps.Health) {
+	v, hash := s.deps.View.Load(), evac.CallHash(j.call.ID)
+	for _, inst := range v.Endpoints(j.service) {
+		if excluded.addOut(inst, v) || excluded.add(inst, s.deps.Health) {
 			continue
 		}
 		replicas = append(replicas, pick.Replica{
 			Instance: inst, Calls: calls[inst.ID] + s.deps.InFlight.Count(inst.ID),
-			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID), Remote: inst.Domain != s.deps.Domain,
+			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID) || v.HoldsBack(inst, hash, now), Remote: inst.Domain != s.deps.Domain,
 		})
 	}
 	if len(replicas) == 0 {
@@ -259,8 +261,8 @@
 // attempt. It records the crash against the request if there was no event yet, and against
 // the parts of its prompt if the answer had not begun.
 func (s *Server) checkCrash(j *job, a *attempt) {
-	if s.deps.Clock.Now().After(j.deadline) {
-		return // the attempt ended at the deadline
+	if s.deps.Clock.Now().After(j.deadline) || s.deps.Chooser.isOut(a.inst) {
+		return // the attempt ended at the deadline, or the endpoint gets no probes
 	}
 	inst, begun, hasEvent := a.inst, a.begun, !j.firstEventAt.IsZero()
 	go func() {
@@ -300,13 +302,18 @@
 // noEndpoint returns the refusal of a call that did not run for lack of an endpoint. retry is
 // the time after which the caller may try again. If all endpoints want a pause, it is when the
 // first of them wants calls again, spread so that not all callers return at once, or 0 if the
-// call's deadline comes before.
+// call's deadline comes before. It is 0 as well if all endpoints are out of service, since the
+// operators decide when they return.
 func (s *Server) noEndpoint(ctx context.Context, j *job, format string, retry time.Duration) *plank.RefusalError {
 	if isStopping(ctx) {
 		return refuseStopping("the process ends before the call ran")
 	}
 	r := plank.Refuse(plank.CodeNoEndpoint, format, j.service)
 	r.RetryAfter = retry
+	if s.deps.Chooser.isAllOut(j.service) {
+		r.Detail, r.RetryAfter = "all endpoints of "+string(j.service)+" are out of service", 0
+		return r
+	}
 	if until := s.deps.Chooser.pauseEnd(j.service); !until.IsZero() {
 		spread := time.Duration(xxhash.Sum64String(string(j.call.ID)) % uint64(pauseSpread))
 		at := until.Add(spread)
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/evac"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/peer"
@@ -368,7 +369,7 @@
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now())}
+	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), Hash: evac.CallHash(r.ID)}
 	c, ok := b.Chooser.Choose(service, pool, call, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.StateKnown {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: noCapacityRetry.Microseconds()}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -170,6 +170,8 @@
 	// pausedUntil returns the time until which a run of an engine wants no requests of this
 	// VM, or the zero time.
 	pausedUntil func(plank.Run) time.Time
+	// isOutOfService is as in Deps.
+	isOutOfService func(plank.DomainID) bool
 
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
@@ -213,7 +215,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, isOutOfService: deps.IsOutOfService, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
@@ -291,6 +293,8 @@
 	waiting := e.queue[:0]
 	for _, res := range e.queue {
 		switch {
+		case e.isOut():
+			waiting = append(waiting, res) // until the next step moves or refuses it
 		case e.fits(res) && e.serves(res, now):
 			e.admit(res, now)
 		case e.unresponsive:
@@ -309,8 +313,8 @@
 // this VM.
 func (e *Engine) pauseEnd() time.Time { return e.pausedUntil(e.inst.Run()) }
 
-// isPaused reports whether the engine wants no orders and no status requests now.
-func (e *Engine) isPaused(now time.Time) bool { return e.pauseEnd().After(now) }
+// isPaused reports whether the engine gets no orders and no status requests now.
+func (e *Engine) isPaused(now time.Time) bool { return e.isOut() || e.pauseEnd().After(now) }
 
 // expire refuses the queued reservations whose deadline has passed.
 func (e *Engine) expire(now time.Time) {
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -68,7 +68,7 @@
 }
 
 func (e *Engine) capacity(now time.Time) capacity {
-	usable := e.isReady() && !e.isAvoided()
+	usable := e.isReady() && !e.isAvoided() && !e.isOut()
 	return capacity{usable: usable, freeSlot: usable && !now.Before(e.noLoadsUntil) && !e.isPaused(now) && e.freeSlots(now) > e.wantedAdapters()}
 }
 
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -54,6 +54,9 @@
 	// PausedUntil returns the time until which a run of an engine wants no requests of this
 	// VM, or the zero time. Meanwhile it gets no orders.
 	PausedUntil func(plank.Run) time.Time
+	// IsOutOfService reports whether the operators took a failure domain out of service. Its
+	// engines get no calls, no orders and no status requests meanwhile. Nil for none.
+	IsOutOfService func(plank.DomainID) bool
 	// CountOrder is called with the result of each order.
 	CountOrder func(unload bool, result string)
 	// PublishColdLoads publishes to other VMs how many cold loads this VM has in
@@ -146,6 +149,7 @@
 		s.cold.refused = true
 		return false
 	}
+	s.clearEvacuated(now)
 	s.moveWaiting(now, mayLoadCold())
 	if !now.Before(s.nextLogAt) {
 		s.nextLogAt = now.Add(waitLogInterval)
@@ -239,7 +243,7 @@
 	s.sortEngines()
 	now := s.deps.Clock.Now()
 	for _, res := range slices.Clone(e.queue) {
-		if to := bestEngine(s.sorted, res, now, (*Engine).isReady); to != nil {
+		if to := bestEngine(s.sorted, res, now, func(o *Engine) bool { return o.isReady() && !o.isOut() }); to != nil {
 			s.reassign(res, to, reason)
 		}
 	}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -74,6 +74,7 @@
 		}
 		set("Endpoints.Registered", int64(len(v.Instances)))
 		set("Endpoints.Leaving", int64(v.CountLeaving()))
+		set("Evacuation.Domains", int64(len(v.Evacuated.Out())))
 		if last := n.watchPolicy.lastUpdate(); !last.IsZero() {
 			set("News.AgeMs", n.clock.Now().Sub(last).Milliseconds())
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
-	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
+	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.updateBound(), linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
@@ -235,7 +235,7 @@
 func (n *Node) buildScheduler(ctx context.Context) {
 	n.health = health.New(n.clock)
 	n.scheduler = grant.NewScheduler(ctx, grant.Deps{
-		Self: n.settings.VM, Controller: platform.NewEngineController(n.pool), Evictor: place.LowestValue{}, Clock: n.clock, Log: n.log,
+		Self: n.settings.VM, Controller: n.gateController(platform.NewEngineController(n.pool)), IsOutOfService: n.isOutOfService, Evictor: place.LowestValue{}, Clock: n.clock, Log: n.log,
 		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		PausedUntil:    n.health.PausedUntil,
@@ -321,7 +321,7 @@
 	}
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Limiter: n.limiter, Budgets: n.budgets,
-		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
+		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: n.gateSender(platform.NewSender(n.pool, n.clock)),
 		StopTime: n.exitTime, Stopping: n.calls, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.callerListener = idle.Wrap(callers)
@@ -418,6 +418,7 @@
 		opts.Prefix = prefix
 		n.watchPolicy.add(watch.New(ctx, opts))
 	}
+	n.followEvacuations(ctx, opts)
 	opts.Prefix, opts.Active, opts.AwaitActive = platform.PrefixServers, n.watchPolicy.mustFollowEndpoints, n.watchPolicy.awaitEndpointTurn
 	n.watchPolicy.addEndpoints(watch.New(ctx, opts))
 	go func() { n.watchPolicy.run(ctx) }()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -118,6 +118,7 @@
 			}
 		}
 	}
+	g.Objects = append(g.Objects, s.changedEvacuations(opts.AfterChange)...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.Leaving, g.ColdLoads, g.Duties = s.draining, uint32(s.coldLoads), s.duties
@@ -179,13 +180,13 @@
 // changedObjects returns the objects of the store that changed after the change
 // numbered after, in the order of their changes, as many as fit in a message. It
 // also returns the number up to which changes are covered, which is last if all
-// objects fit.
+// objects fit. Evacuations are sent apart.
 func (s *state) changedObjects(after, last uint64) ([]*wire.StoredObject, uint64) {
 	s.mu.Lock()
 	var keys []string
 	changes := make(map[string]uint64)
 	for key, change := range s.objects {
-		if change > after {
+		if change > after && !isEvacuation(key) {
 			keys = append(keys, key)
 			changes[key] = change
 		}
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -118,6 +118,8 @@
 	MaxGap time.Duration
 	// Target is the time left until the first token is late.
 	Target time.Duration
+	// Hash is that of the call for evac.Domains.HoldsBack; the same on all VMs.
+	Hash uint64
 }
 
 // TimeToFirstToken returns the expected time to the first token on an engine.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/evac"
 )
 
 // A View is one snapshot. It is not modified after it was published.
@@ -19,6 +20,9 @@
 	Instances map[plank.EndpointID]plank.Instance
 	// Versions holds the highest announced version of each adapter.
 	Versions map[plank.AdapterRef]plank.VersionNumber
+	// Evacuated holds the failure domains that are out of service, whose endpoints get no
+	// requests, and those that returned.
+	Evacuated evac.Domains
 
 	routes         map[string][]*plank.Route // by host
 	workspaceByKey map[string]*plank.Workspace
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -18,7 +18,8 @@
 
 // Intervals of the watchers.
 const (
-	// relistInterval bounds how long a lost event can go undetected.
+	// relistInterval bounds how long a lost event can go undetected, unless the options say
+	// otherwise.
 	relistInterval = 15 * time.Second
 )
 
@@ -36,6 +37,8 @@
 	AwaitActive func(ctx context.Context) bool
 	// RetryDelay returns the pause after a number of consecutive failed calls.
 	RetryDelay func(failures int) time.Duration
+	// RelistInterval bounds how long a lost event can go undetected; 0 for relistInterval.
+	RelistInterval time.Duration
 	Clock      plank.Clock
 	Log        *logrus.Entry
 }
@@ -63,6 +66,9 @@
 
 // New starts a watcher that ends with ctx.
 func New(ctx context.Context, opts Options) *Watcher {
+	if opts.RelistInterval == 0 {
+		opts.RelistInterval = relistInterval
+	}
 	l := &Watcher{opts: opts}
 	go func() { l.run(ctx) }()
 	return l
@@ -155,7 +161,7 @@
 // longer active. It returns the revision up to which it went, or 0 if a new list does
 // not follow at once, and whether the watch failed.
 func (w *Watcher) follow(ctx context.Context, covered plank.Coverage, rev plank.Revision) (followed plank.Revision, failed bool) {
-	due := w.opts.Clock.Now().Add(relistInterval)
+	due := w.opts.Clock.Now().Add(w.opts.RelistInterval)
 	for w.opts.Clock.Now().Before(due) {
 		if !w.opts.Active() {
 			return 0, false
