--- a/internal/node/evacuated.go
+++ b/internal/node/evacuated.go
@@ -38,13 +38,20 @@
 	return bounds.ConfigApply
 }
 
+// addEvacuationSink adds the sink of the entries. It is called before the VM accepts messages: a
+// peer sends an entry once on a stream.
+func (n *Node) addEvacuationSink() {
+	if n.evacuates() {
+		n.table.AddSink(platform.PrefixEvacuations, &watch.EvacuationSink{Prefix: platform.PrefixEvacuations, View: n.view, Clock: n.clock, Log: n.log})
+	}
+}
+
 // followEvacuations starts to follow the entries in the store. opts are those of the watchers that
 // follow the store while it is this VM's turn.
 func (n *Node) followEvacuations(ctx context.Context, opts watch.Options) {
 	if !n.evacuates() {
 		return
 	}
-	n.table.AddSink(platform.PrefixEvacuations, &watch.EvacuationSink{Prefix: platform.PrefixEvacuations, View: n.view, Clock: n.clock, Log: n.log})
 	opts.Prefix, opts.RelistInterval = platform.PrefixEvacuations, n.settings.Bounds.Evacuate
 	n.watchPolicy.add(watch.New(ctx, opts))
 	go func() { n.checkEvacuations(ctx) }()
--- /dev/null
+++ b/internal/node/evacuated_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/platform"
+)
+
+// evacuationNode returns a node of a large fleet that neither watches the store nor hears of it.
+func evacuationNode(vm plank.VMID, limit time.Duration) *Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{settings: &platform.Settings{VM: vm, Domain: "d"}, clock: plank.SystemClock{}, log: log.WithField("vm", vm)}
+	n.settings.Bounds.Evacuate = limit
+	n.buildState()
+	n.state.wake = func() {}
+	n.state.fleetSize = func() int { return 10 * smallFleet }
+	return n
+}
+
+// Passes entries along a chain of VMs of different failure domains of a large fleet, of which only
+// the first reads the store. Guards against entries that end with the domain of the watchers, or
+// with VMs that do not send what peers told them, as all others of the store's objects do there, and
+// against large values on links.
+func TestEvacuationsPassThroughVMsWithoutTheStore(t *testing.T) {
+	var nodes []*Node
+	for i := range 4 {
+		nodes = append(nodes, evacuationNode(plank.VMID(fmt.Sprint("vm-", i)), 5*time.Second))
+	}
+	after := make([]uint64, len(nodes))
+	pass := func() (sent int) {
+		for i, to := range nodes[1:] {
+			g, covered := nodes[i].state.Gossip(mesh.GossipOptions{AfterChange: after[i]})
+			after[i], sent = covered.Change, sent+len(g.Objects)
+			assert.Equal(t, g.NewsMicros, int64(-1), "other domains are no source of the other objects")
+			for _, o := range g.Objects {
+				assert.Equal(t, len(o.Value)+int(o.Size), 0)
+			}
+			to.state.Merge(nodes[i].settings.VM, "boot", g, 0)
+		}
+		return sent
+	}
+	write := func(rev int, domain string, exists bool) {
+		c := plank.Change{Object: plank.Object{Key: "evacuations/" + domain}, Revision: plank.Revision(rev)}
+		if exists {
+			c.Object.Value, c.Object.Version = []byte(strings.Repeat(" ", 100_000)+"{}"), plank.ObjectVersion(rev)
+		}
+		nodes[0].table.Apply("evacuations/", []plank.Change{c})
+	}
+	last := func() []plank.DomainID { return nodes[3].view.Load().Evacuated.Out() }
+	write(1, "a", true)
+	write(2, "unknown", true)
+	assert.Equal(t, pass(), 6)
+	assert.DeepEqual(t, last(), []plank.DomainID{"a", "unknown"})
+	write(3, "a", false)
+	assert.Equal(t, pass(), 3)
+	assert.DeepEqual(t, last(), []plank.DomainID{"unknown"})
+	assert.Equal(t, pass(), 0, "what a stream has carried is not sent again")
+	after[2] = 0 // a new stream
+	assert.Equal(t, pass(), 2)
+}
+
+// Guards against entries that count where the settings have no bound for them.
+func TestEvacuationsWithoutABoundAreIgnored(t *testing.T) {
+	n := evacuationNode("vm", 0)
+	from := evacuationNode("other", time.Second)
+	from.table.Apply("evacuations/", []plank.Change{{Object: plank.Object{Key: "evacuations/a", Version: 1}, Revision: 1}})
+	g, _ := from.state.Gossip(mesh.GossipOptions{})
+	n.state.Merge("other", "boot", g, 0)
+	assert.Equal(t, len(n.view.Load().Evacuated.Out()), 0)
+	g, _ = n.state.Gossip(mesh.GossipOptions{})
+	assert.Equal(t, len(g.Objects), 0)
+	assert.Assert(t, !n.evacuates() && n.updateBound() == n.settings.Bounds.ConfigApply)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,6 +156,7 @@
 	}
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
+	n.addEvacuationSink()
 	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.updateBound(), linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -164,6 +164,18 @@
 // startWatcher starts a watcher of the registrations of a fixture. It watches while active
 // says so.
 func (f *fixture) startWatcher(t *testing.T, active func() bool) (*scriptedStore, *watch.Watcher) {
+	t.Helper()
+	return f.startWatcherOf(t, "servers/", 0, active)
+}
+
+// startEvacuationWatcher starts a watcher of the evacuations that lists them at an interval.
+func (f *fixture) startEvacuationWatcher(t *testing.T, relist time.Duration) *scriptedStore {
+	t.Helper()
+	store, _ := f.startWatcherOf(t, "evacuations/", relist, func() bool { return true })
+	return store
+}
+
+func (f *fixture) startWatcherOf(t *testing.T, prefix string, relist time.Duration, active func() bool) (*scriptedStore, *watch.Watcher) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -171,7 +183,7 @@
 	t.Cleanup(cancel)
 	store := &scriptedStore{lists: make(chan listAnswer), watches: make(chan watchAnswer)}
 	return store, watch.New(ctx, watch.Options{
-		Store: store, Prefix: "servers/", Table: f.table, BatchDelay: func() time.Duration { return 0 }, Active: active,
+		Store: store, Prefix: prefix, RelistInterval: relist, Table: f.table, BatchDelay: func() time.Duration { return 0 }, Active: active,
 		AwaitActive: func(ctx context.Context) bool {
 			store.turns.Add(1)
 			for !active() && pause.For(ctx, time.Millisecond) {
