--- a/internal/node/evacuated_test.go
+++ b/internal/node/evacuated_test.go
@@ -1,17 +1,23 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/platform"
+	"knapweedplank.org/plank/platform/stand"
 )
 
 // evacuationNode returns a node of a large fleet that neither watches the store nor hears of it.
@@ -80,3 +86,49 @@
 	assert.Equal(t, len(g.Objects), 0)
 	assert.Assert(t, !n.evacuates() && n.updateBound() == n.settings.Bounds.ConfigApply)
 }
+
+// A laterClock is ahead of the system's clock.
+type laterClock struct{ ahead atomic.Int64 }
+
+// Now implements plank.Clock.
+func (c *laterClock) Now() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
+
+// Guards against a domain that stays out of service on a VM that missed the removal, because the
+// VMs that watched the store restarted meanwhile, and against calls to the store where no entry is
+// in force.
+func TestMissedRemovalIsFound(t *testing.T) {
+	store := stand.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	n := evacuationNode("vm", 5*time.Second)
+	clock := new(laterClock)
+	n.clock, n.settings.StoreAddr, n.registry = clock, server.Listener.Addr().String(), metrics.NewRegistry()
+	n.buildClients()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { n.checkEvacuations(ctx) }()
+	time.Sleep(3 * checkInterval)
+	clock.ahead.Add(int64(time.Minute))
+	time.Sleep(2 * checkInterval)
+	assert.Equal(t, store.Calls(), 0)
+	store.Put("evacuations/a", struct{}{})
+	n.table.ApplyFromPeer("other", plank.Change{Object: plank.Object{Key: "evacuations/a", Version: 11}, Revision: 11})
+	time.Sleep(2 * checkInterval) // the check is planned
+	clock.ahead.Add(int64(15 * time.Second))
+	await(t, func() bool { return store.Calls() == 1 })
+	time.Sleep(checkInterval / 4) // the answer is applied
+	assert.Assert(t, n.isOutOfService("a"))
+	store.Delete("evacuations/a")
+	clock.ahead.Add(int64(15 * time.Second))
+	await(t, func() bool { return !n.isOutOfService("a") })
+}
+
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
