--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -39,8 +39,8 @@
 	RetryDelay func(failures int) time.Duration
 	// RelistInterval bounds how long a lost event can go undetected; 0 for relistInterval.
 	RelistInterval time.Duration
-	Clock      plank.Clock
-	Log        *logrus.Entry
+	Clock          plank.Clock
+	Log            *logrus.Entry
 }
 
 // A Watcher applies the changes of one prefix of the store to a table.
