--- a/internal/evac/domains.go
+++ b/internal/evac/domains.go
@@ -73,7 +73,7 @@
 	}
 	state, ok := s.states[d]
 	if !ok || state.out {
-		return state.out
+		return false
 	}
 	if length <= 0 {
 		length = DefaultReturnTime
