--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -170,6 +170,8 @@
 	// pausedUntil returns the time until which a run of an engine wants no requests of this
 	// VM, or the zero time.
 	pausedUntil func(plank.Run) time.Time
+	// isOutOfService is as in Deps.
+	isOutOfService func(plank.DomainID) bool
 
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
@@ -214,7 +216,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, contended: deps.Contended, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, isOutOfService: deps.IsOutOfService, contended: deps.Contended, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
@@ -310,8 +312,8 @@
 // this VM.
 func (e *Engine) pauseEnd() time.Time { return e.pausedUntil(e.inst.Run()) }
 
-// isPaused reports whether the engine wants no orders and no status requests now.
-func (e *Engine) isPaused(now time.Time) bool { return e.pauseEnd().After(now) }
+// isPaused reports whether the engine gets no orders and no status requests now.
+func (e *Engine) isPaused(now time.Time) bool { return e.isOut() || e.pauseEnd().After(now) }
 
 // expire refuses the queued reservations whose deadline has passed.
 func (e *Engine) expire(now time.Time) {
