--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
@@ -20,6 +21,7 @@
 	View   *view.Publisher
 	Mesh   *mesh.Mesh
 	Health *health.Table
+	Cold   *cold.Table // nil if no endpoint is ever cold
 	Clock  plank.Clock
 
 	mu      sync.Mutex
@@ -95,7 +97,7 @@
 
 // exclusions counts the endpoints of a service that a choice left out.
 type exclusions struct {
-	leaving, paused int
+	leaving, paused, cold int
 }
 
 // add counts an endpoint if it leaves or wants a pause, and reports whether it does.
@@ -119,6 +121,9 @@
 	if x.paused > 0 {
 		fields["paused"] = x.paused
 	}
+	if x.cold > 0 {
+		fields["cold"] = x.cold
+	}
 }
 
 // logFields returns the log fields of a choice.
@@ -128,6 +133,9 @@
 		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
 		"lately": e.RecentlyResident, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.candidates,
 	}
+	if e.ColdWait > 0 {
+		fields["cold_wait_ms"] = e.ColdWait.Milliseconds()
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -157,6 +165,7 @@
 		} else {
 			state = mesh.Engine{}
 		}
+		e.ColdWait = c.coldWait(inst, state)
 		e.Avoid = e.Avoid || !e.StateKnown
 		engines = append(engines, e)
 		states = append(states, state)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -282,7 +282,7 @@
 // reserveOn requests a reservation from the holder of the selected engine. If the
 // holder is unavailable, the engine is used without a reservation, provided that
 // its last known state lists the current version of the adapter, or that the call
-// needs no adapter.
+// needs no adapter, and that the engine is not cold.
 func (s *Server) reserveOn(ctx context.Context, j *job, c Choice, r grant.Request) (plank.Instance, Reservation, *plank.RefusalError) {
 	var refusal *plank.RefusalError
 	if c.Engine.StateKnown {
@@ -295,7 +295,7 @@
 		}
 		j.log.WithField("endpoint", c.Engine.Instance.ID).WithError(err).Warn("front: the holder of an engine does not answer")
 	}
-	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") {
+	if c.State.State != nil && (c.Engine.Resident && !c.Engine.Stale || r.Adapter.Name == "") && !s.deps.Chooser.isCold(c.Engine.Instance, c.State) {
 		return c.Engine.Instance, unmanagedReservation{version: residentVersion(c.State.State, r.Adapter)}, nil
 	}
 	return c.Engine.Instance, nil, noCapacity("nobody orders the engine", noCapacityRetry)
@@ -334,6 +334,7 @@
 		Resume: p.lastID, Urgency: min(maxUrgency, max(0, j.priority)),
 	})
 	var e callEnd
+	s.reportCold(inst, res)
 	isStream := a.err == nil && a.reply.Status == 200
 	if a.err == nil {
 		defer a.reply.Body.Close()
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -120,8 +120,13 @@
 		if excluded.add(inst, s.deps.Health) {
 			continue
 		}
+		isCold := !s.deps.Chooser.Cold.Until(inst).IsZero()
+		if !s.coldNextAt(inst, isCold).IsZero() {
+			excluded.cold++
+			continue
+		}
 		replicas = append(replicas, pick.Replica{
-			Instance: inst, Calls: calls[inst.ID] + s.deps.InFlight.Count(inst.ID),
+			Cold: isCold, Instance: inst, Calls: calls[inst.ID] + s.deps.InFlight.Count(inst.ID),
 			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID), Remote: inst.Domain != s.deps.Domain,
 		})
 	}
@@ -133,6 +138,9 @@
 		return plank.Instance{}, false
 	}
 	r := replicas[i]
+	if r.Cold && !s.deps.Portions.Take(r.Instance) {
+		return s.pickReplica(j, tried) // another call took the portion meanwhile
+	}
 	fields := logrus.Fields{"endpoint": r.Instance.ID, "calls": r.Calls, "fail_rate": r.FailRate, "avoid": r.Avoid, "of": len(replicas)}
 	excluded.logTo(fields)
 	j.log.WithFields(fields).Info("front: routed")
@@ -316,6 +324,11 @@
 			r.RetryAfter = 0
 		}
 	}
+	if until := s.coldEnd(j.service); j.pool == nil && !until.IsZero() {
+		spread := time.Duration(xxhash.Sum64String(string(j.call.ID)) % uint64(pauseSpread))
+		r.Detail = "all endpoints of " + string(j.service) + " are cold"
+		r.RetryAfter = max(r.RetryAfter, until.Add(spread).Sub(s.deps.Clock.Now()))
+	}
 	return r
 }
 
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -99,9 +99,13 @@
 // Version implements Reservation.
 func (l localReservation) Version() plank.VersionNumber { return l.Outcome.Version }
 
-// MarkFailed implements Reservation. It does nothing: the holder is this VM, whose
-// health table already has the failure.
-func (localReservation) MarkFailed(bool) {}
+// MarkFailed implements Reservation. The holder is this VM, whose health table already has
+// the failure.
+func (l localReservation) MarkFailed(reached bool) {
+	if !reached {
+		l.MarkUnreached()
+	}
+}
 
 // ackTimeout is how long a holder may take to send its first reply, which may only
 // report that the request is queued. It detects holders that are cut off.
@@ -347,6 +351,7 @@
 // handleNote processes a peer's note on its reserved call. In a large fleet each VM
 // has few calls on each engine, so the holder collects failures from all VMs.
 func (b *Broker) handleNote(res *grant.Reservation, n *wire.ReserveNote) {
+	b.handleColdNote(res.Instance, n)
 	switch id := res.Instance.ID; {
 	case n.Began:
 		res.MarkStarted()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/mesh"
@@ -37,6 +38,9 @@
 	Health   *health.Table
 	Poison   *poison.Table
 	Parts    *poison.PartTable
+	// Portions are this VM's portions of the calls to cold replicas; nil if the chooser
+	// knows no cold endpoints.
+	Portions *cold.Portions
 	InFlight *InFlight
 	Sender   plank.Sender
 	// StopTime returns when Stopping ends. It returns the zero time until draining
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -207,6 +207,7 @@
 	backlog    plank.Tokens // prompts of granted reservations that have not started
 	prefill    float64      // decayed count of prompt tokens granted, as of prefillAt
 	prefillAt  time.Time    // when prefill was last updated
+	cold       coldGate
 }
 
 // NewEngine returns an engine whose status has not been read yet.
@@ -215,7 +216,7 @@
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
 		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
-		users: make(map[plank.AdapterRef]int),
+		users: make(map[plank.AdapterRef]int), cold: newColdGate(deps),
 	}
 	for _, ref := range deps.RecentAdapters(h.Instance) {
 		e.recent.Add(ref)
@@ -287,16 +288,18 @@
 // and refuses those that have expired or whose engine does not respond.
 func (e *Engine) admitQueued(now time.Time) {
 	e.expire(now)
+	e.updateCold(now)
 	slices.SortStableFunc(e.queue, func(a, b *reservation) int { return a.compare(b, now) })
 	waiting := e.queue[:0]
 	for _, res := range e.queue {
 		switch {
-		case e.fits(res) && e.serves(res, now):
+		case e.fits(res) && e.serves(res, now) && e.mayGrant(now):
 			e.admit(res, now)
 		case e.unresponsive:
 			res.settle(Outcome{Reason: "the engine does not answer"})
 		case e.pauseEnd().After(res.Deadline) && !e.serves(res, now):
 			res.settle(Outcome{Reason: "the engine takes no orders in time"})
+		case e.refusesCold(res, len(waiting), now):
 		default:
 			waiting = append(waiting, res)
 		}
@@ -359,6 +362,7 @@
 
 func (e *Engine) admit(res *reservation, now time.Time) {
 	res.granted = true
+	e.recordGrant(now)
 	e.running[res] = true
 	e.usedMemory += res.memory()
 	e.backlog += res.Prompt
@@ -430,6 +434,7 @@
 		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.unresponsive, Bare: e.hasNoBase(), Wanted: uint32(e.wantedAdapters()),
 		Backlog: float64(e.pendingPrefill()), Reading: e.prefillRate(now), Running: uint32(len(e.running)), Used: float64(e.usedMemory), Queued: uint32(len(e.queue)),
 	}
+	e.publishCold(s, now)
 	for _, slot := range e.slots {
 		s.Places = append(s.Places, &wire.Place{
 			Adapter: slot.ref.String(), Version: uint64(slot.version), Users: uint32(e.users[slot.ref]), Loading: slot.state != resident,
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -98,7 +98,7 @@
 		Instance: e.inst, StateKnown: e.statusKnown, NoBaseModel: e.hasNoBase(), RecentlyResident: e.recent.Has(ref),
 		TakenAdapterSlots: len(e.slots), IdleAdapterSlots: len(e.idleSlots(now)), AdapterSlots: e.limits.MaxAdapters, WaitingAdapters: e.wantedAdapters(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.MaxRunning, Backlog: e.pendingPrefill(),
-		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory, KVCapacity: e.limits.Memory, FailRate: failRate, Avoid: e.unresponsive || avoid,
+		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory, KVCapacity: e.limits.Memory, ColdWait: e.coldCost(now), FailRate: failRate, Avoid: e.unresponsive || avoid,
 	}
 	if slot := e.slots[ref]; slot != nil {
 		v.Resident, v.Loading = slot.state == resident, slot.state != resident
@@ -122,7 +122,7 @@
 
 // movable returns the queued reservations that wait for an adapter slot while none is
 // available or the engine wants no orders, or for the calls on an old version of their adapter
-// to end. It returns all of them if the engine is to be avoided.
+// to end, or behind the first one for a cold engine. It returns all of them if the engine is to be avoided.
 func (e *Engine) movable(now time.Time) []*reservation {
 	if len(e.queue) == 0 {
 		return nil
@@ -136,7 +136,11 @@
 	}
 	var out []*reservation
 	seen := make(map[plank.AdapterRef]bool)
-	for _, res := range e.queue {
+	for n, res := range e.queue {
+		if n > 0 && e.isCold() {
+			out = append(out, res) // the engine gets the first one next
+			continue
+		}
 		slot := e.slots[res.Adapter]
 		if slot != nil && e.isBlockedByUsers(slot, now, res) {
 			out = append(out, res)
@@ -170,7 +174,7 @@
 // accepts reports whether a reservation queued elsewhere could proceed on this
 // engine at once or after the load of its adapter.
 func (e *Engine) accepts(res *reservation, now time.Time, mayLoadCold bool, c capacity) bool {
-	if !c.usable || !e.fits(res) {
+	if !c.usable || !e.fits(res) || !e.mayGrant(now) {
 		return false
 	}
 	if slot := e.slots[res.Adapter]; slot != nil {
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -186,7 +186,9 @@
 		e.handleUnanswered(o, now)
 		return false
 	}
+	wasUnresponsive := e.unresponsive
 	e.unresponsive = false
+	e.markColdContact(wasUnresponsive)
 	if result == plank.OrderPending || o.Unload {
 		e.lastOrderAt = now
 	}
@@ -278,6 +280,7 @@
 		slot.pollAt = now.Add(pollInterval)
 		if e.unansweredCount >= maxUnanswered {
 			e.unresponsive = true
+			e.markColdContact(true)
 			e.invalidateStatus(now)
 		}
 		return
@@ -285,6 +288,7 @@
 	e.unanswered = &o
 	if e.unansweredCount >= maxUnanswered {
 		e.unresponsive = true
+		e.markColdContact(true)
 		e.invalidateStatus(now)
 	}
 	slot := e.slots[o.Target.Adapter]
@@ -309,7 +313,9 @@
 func (e *Engine) handleStatus(s plank.EngineStatus, err error, now time.Time) {
 	e.busy = false
 	e.nextStatusAt = now.Add(statusInterval)
+	wasUnresponsive := e.unresponsive
 	e.unresponsive = err != nil
+	e.markColdContact(wasUnresponsive)
 	if err != nil {
 		e.statusKnown = false
 		e.statusNotBefore = now.Add(basePollInterval)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -54,6 +55,9 @@
 	// PausedUntil returns the time until which a run of an engine wants no requests of this
 	// VM, or the zero time. Meanwhile it gets no orders.
 	PausedUntil func(plank.Run) time.Time
+	// Cold holds which engines are cold; nil if none ever is. ColdBound limits their requests.
+	Cold      *cold.Table
+	ColdBound cold.Bound
 	// CountOrder is called with the result of each order.
 	CountOrder func(unload bool, result string)
 	// PublishColdLoads publishes to other VMs how many cold loads this VM has in
@@ -204,12 +208,12 @@
 // stepEngine admits queued calls and starts the next action. It reports whether
 // the length of the queue changed.
 func (s *Scheduler) stepEngine(e *Engine, now time.Time, mayLoadCold func() bool) bool {
-	before := len(e.queue)
+	before, turned := len(e.queue), e.updateCold(now)
 	e.admitQueued(now)
 	if a, ok := e.nextAction(now, mayLoadCold); ok {
 		s.execute(e, a)
 	}
-	return before != len(e.queue)
+	return before != len(e.queue) || turned
 }
 
 // moveWaiting moves queued calls to engines that have capacity for them.
@@ -361,7 +365,9 @@
 	if old != nil {
 		s.removeEngine(old, "the engine started anew")
 	}
-	s.engines[h.Instance.ID] = NewEngine(h, &s.deps)
+	e := NewEngine(h, &s.deps)
+	e.keepCold(old)
+	s.engines[h.Instance.ID] = e
 	s.sortEngines()
 	s.changed[h.Instance.ID] = true
 }
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -21,6 +21,7 @@
 	causeVersion  waitCause = "version"      // the old version is still in use
 	causePrefill  waitCause = "prompts"      // the backlog is at its limit
 	causeCapacity waitCause = "room"         // the batch or the KV cache is full
+	causeCold     waitCause = "warming"      // the engine is cold and the bound is reached
 	causeOrder    waitCause = "order"        // a load can be ordered now
 )
 
@@ -34,6 +35,8 @@
 	}
 	slot := e.slots[res.Adapter]
 	switch {
+	case e.isCold() && e.serves(res, now):
+		return causeCold
 	case res.Adapter.Name == "" || slot != nil && slot.state == resident && !e.isStale(slot, now, res.Version):
 		if e.backlog > 0 && e.backlog+res.Prompt > maxBacklog {
 			return causePrefill
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -72,6 +72,7 @@
 		if v.Manifest != nil {
 			set("Manifest.Version", int64(v.Manifest.Version))
 		}
+		set("Endpoints.Cold", int64(n.cold.Count()))
 		set("Endpoints.Registered", int64(len(v.Instances)))
 		set("Endpoints.Leaving", int64(v.CountLeaving()))
 		if last := n.watchPolicy.lastUpdate(); !last.IsZero() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/conns"
 	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/duty"
@@ -82,6 +83,7 @@
 	broker       *front.Broker
 	chooser      *front.Chooser
 	health       *health.Table
+	cold         *cold.Table
 	duties       *dutyLoop
 	delay        delay.Meter
 	state        *state
@@ -155,6 +157,7 @@
 		observations: make(map[poison.ObservationKey]observationChange), leaving: make(map[plank.Run]uint64), log: n.log,
 	}
 	n.view = view.New(n.viewChanged)
+	n.buildCold()
 	n.table = watch.NewTable(n.state.setObject)
 	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
@@ -206,6 +209,7 @@
 	if notice.Leaving {
 		n.state.markLeaving(run, "the endpoint")
 	}
+	n.handleColdNotice(run, notice)
 	if notice.PausedUntil.After(now) && n.health.RecordPause(run, notice.PausedUntil) {
 		n.log.WithFields(logrus.Fields{"endpoint": run.Endpoint, "born": run.Born, "pause_ms": notice.PausedUntil.Sub(now).Milliseconds()}).Info("node: an endpoint asks for a pause")
 		metrics.GetOrRegisterCounter("Endpoints.Pauses", n.registry).Inc(1)
@@ -239,6 +243,8 @@
 		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		PausedUntil:    n.health.PausedUntil,
+		Cold:           n.cold,
+		ColdBound:      n.coldBound(),
 		InUseElsewhere: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		RecentAdapters: func(inst plank.Instance) []plank.AdapterRef {
 			var refs []plank.AdapterRef
@@ -259,7 +265,7 @@
 			}
 		},
 	})
-	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock}
+	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Cold: n.cold, Clock: n.clock}
 	n.broker = &front.Broker{Local: n.scheduler, LastPause: func() (length, ago time.Duration) { return n.delay.LastPause(n.clock.Now()) }, Chooser: n.chooser, Transport: n.transport, Clock: n.clock, Log: n.log}
 }
 
@@ -321,7 +327,7 @@
 	}
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Limiter: n.limiter, Budgets: n.budgets,
-		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
+		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Portions: n.portions(), Sender: platform.NewSender(n.pool, n.clock),
 		StopTime: n.exitTime, Stopping: n.calls, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.callerListener = idle.Wrap(callers)
@@ -397,6 +403,7 @@
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
 			n.health.ExpirePauses()
+			n.state.expireCold(current)
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
 		}
 	}()
@@ -407,6 +414,7 @@
 func (n *Node) followStore(ctx context.Context) *watch.InstanceSink {
 	decoder := platform.RecordDecoder{}
 	instances := watch.NewInstanceSink(platform.PrefixServers, decoder, n.view, n.state.setObject, n.clock, n.log)
+	instances.OnCold(n.handleRegistration)
 	n.table.AddSink(platform.PrefixConfig, &watch.ManifestSink{Key: platform.KeyManifest, Decoder: decoder, View: n.view, Log: n.log})
 	n.table.AddSink(platform.PrefixServers, instances)
 	n.table.AddSink(platform.PrefixVersions, &watch.ReleaseSink{Decoder: decoder, View: n.view, Log: n.log})
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/front"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/mesh"
@@ -64,6 +65,9 @@
 	// leaving holds the endpoints that said themselves that they leave, with the
 	// numbers of the changes.
 	leaving map[plank.Run]uint64
+	// cold holds which endpoints are cold, and coldEndpoints what is published of it.
+	cold          *cold.Table
+	coldEndpoints map[plank.Run]coldChange
 }
 
 // An engineChange is the state of an engine with the number of its last change.
@@ -137,6 +141,7 @@
 			g.CrashObservations = append(g.CrashObservations, encodeObservation(c.observation, now))
 		}
 	}
+	g.ColdEndpoints = s.changedCold(opts)
 	for run, change := range s.leaving {
 		if change > opts.AfterChange {
 			g.LeavingEndpoints = append(g.LeavingEndpoints, &wire.Run{Endpoint: string(run.Endpoint), Born: run.Born})
@@ -252,6 +257,7 @@
 	for _, x := range g.LeavingEndpoints {
 		s.markLeaving(plank.Run{Endpoint: plank.EndpointID(x.Endpoint), Born: x.Born}, string(vm))
 	}
+	s.mergeCold(vm, g.ColdEndpoints, age)
 	if len(g.CrashObservations) > 0 {
 		now := s.clock.Now()
 		observations := make([]poison.Observation, 0, len(g.CrashObservations))
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -102,6 +102,8 @@
 	Kept plank.Tokens
 	// Pace is how long work takes on the engine, relative to the usual time; 0 if not known.
 	Pace float64
+	// ColdWait is how long the call waits until a cold engine may get it; 0 for a warm one.
+	ColdWait time.Duration
 	// Avoid is set for an engine to be chosen only if there is no other.
 	Avoid  bool
 	Remote bool // in another failure domain
@@ -129,6 +131,7 @@
 	if e.Remote {
 		d += crossDomainTime
 	}
+	d += e.ColdWait
 	if e.NoBaseModel {
 		d += e.BaseLoad
 	}
--- a/internal/pick/plain.go
+++ b/internal/pick/plain.go
@@ -8,6 +8,9 @@
 	remoteWeight = 0.08
 	// failWeight is added at a failure rate of 1.
 	failWeight = 4.0
+	// coldWeight is added for a cold replica, which is slow for some seconds: it gets calls
+	// only where the others have half of their slots in use.
+	coldWeight = 0.5
 )
 
 // A Replica is the state of an endpoint of a plain service for the choice.
@@ -19,6 +22,7 @@
 	// Avoid is set for a replica to be chosen only if there is no other.
 	Avoid  bool
 	Remote bool // in another failure domain
+	Cold   bool
 }
 
 // Load returns the load of the replica: 1 if all its slots are in use, plus the
@@ -29,6 +33,9 @@
 	if r.Remote {
 		load += remoteWeight
 	}
+	if r.Cold {
+		load += coldWeight
+	}
 	return load
 }
 
--- a/internal/watch/sinks.go
+++ b/internal/watch/sinks.go
@@ -105,6 +105,7 @@
 	log     *logrus.Entry
 	// onRemove is called with the key of each endpoint that was removed.
 	onRemove func(key string)
+	onCold   func(inst plank.Instance, wasKnown bool) // as in OnCold; may be nil
 
 	mu sync.Mutex
 	// entries holds the last readable registration of each endpoint.
@@ -153,7 +154,7 @@
 		return false
 	}
 	inst, err := s.decoder.Instance(s.id(c.Object), c.Object.Value)
-	return err == nil && (!known || !sameInstance(old, inst))
+	return err == nil && (!known || !sameInstance(old, inst) || s.coldChanged(old, inst))
 }
 
 // sameInstance reports whether two registrations are equal for routing.
@@ -204,6 +205,7 @@
 			"leaving": inst.Leaving, "born": inst.Born.UnixMilli(), "revision": o.Version,
 		}).Info("watch: endpoint registered")
 	}
+	s.reportCold(inst)
 	s.entries[id] = inst
 }
 
