--- a/internal/cold/pacer.go
+++ b/internal/cold/pacer.go
@@ -36,11 +36,13 @@
 	return int(math.Floor(rate*b.Overage + b.Slack))
 }
 
+// perHolder returns the number of grants of one holder in any second.
+func (b Bound) perHolder(rate float64) int { return max(1, b.PerSecond(rate)/2) }
+
 // interval returns the time between two grants of one holder. Grants are so far apart that
 // two holders, one of which does not know of the other yet, stay within the bound together.
 func (b Bound) interval(rate float64) time.Duration {
-	perHolder := max(1, b.PerSecond(rate)/2)
-	least := window/time.Duration(perHolder) + time.Millisecond
+	least := window/time.Duration(b.perHolder(rate)) + time.Millisecond
 	return max(time.Duration(float64(time.Second)/rate), least)
 }
 
@@ -97,6 +99,9 @@
 // Interval returns the time between two grants for a cold engine.
 func (p *Pacer) Interval(rate float64) time.Duration { return p.bound.interval(rate) }
 
+// MaxUnbegun returns the number of grants for a cold engine whose answers need not have begun.
+func (p *Pacer) MaxUnbegun(rate float64) int { return p.bound.perHolder(rate) }
+
 // Record records a grant. It must be called for warm engines too.
 func (p *Pacer) Record(rate float64, now time.Time) {
 	p.granted = append(p.granted, now)
--- a/internal/grant/cold.go
+++ b/internal/grant/cold.go
@@ -30,13 +30,26 @@
 // is never cold.
 func (e *Engine) coldRate() float64 { return e.cold.table.Rate(e.inst.Service) }
 
-// mayGrant reports whether a grant stays within the bound of a cold engine.
+// mayGrant reports whether a grant stays within the bound of a cold engine. A VM that is
+// paused may send its granted calls at any later time, so the grants whose answers have not
+// begun may not exceed half of the bound; new ones need the other half.
 func (e *Engine) mayGrant(now time.Time) bool {
-	return !e.isCold() || !e.cold.pacer.NextAt(e.coldRate()).After(now)
+	if !e.isCold() {
+		return true
+	}
+	unbegun := 0
+	for res := range e.running {
+		if res.whileCold && !res.started {
+			unbegun++
+		}
+	}
+	rate := e.coldRate()
+	return unbegun < e.cold.pacer.MaxUnbegun(rate) && !e.cold.pacer.NextAt(rate).After(now)
 }
 
-// recordGrant records a grant.
-func (e *Engine) recordGrant(now time.Time) {
+// recordGrant records the grant of a reservation.
+func (e *Engine) recordGrant(res *reservation, now time.Time) {
+	res.whileCold = e.isCold()
 	if rate := e.coldRate(); rate > 0 {
 		e.cold.pacer.Record(rate, now)
 	}
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"errors"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -95,3 +96,8 @@
 
 // Adjust changes the limit if it is time.
 func (c *ColdLimiter) Adjust(inProgress int, now time.Time) { c.adjust(inProgress, now) }
+
+// FailStatus processes a status that could not be read.
+func (e *Engine) FailStatus(now time.Time) {
+	e.handleStatus(plank.EngineStatus{}, errors.New("no answer"), now)
+}
