--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -148,6 +148,7 @@
 	var engines []pick.Engine
 	var states []mesh.Engine
 	var choice Choice
+	coldRate := c.Cold.Rate(service)
 	for _, inst := range v.Endpoints(service) {
 		if choice.excluded.add(inst, c.Health) {
 			continue
@@ -165,7 +166,7 @@
 		} else {
 			state = mesh.Engine{}
 		}
-		e.ColdWait = c.coldWait(inst, state)
+		e.ColdWait = c.coldWait(inst, state, coldRate)
 		e.Avoid = e.Avoid || !e.StateKnown
 		engines = append(engines, e)
 		states = append(states, state)
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -13,9 +13,9 @@
 // that are cold, and replicas of plain services get calls within this VM's portion only.
 
 // coldWait returns how long a call waits until the holder of a cold engine may grant it; 0 if
-// the engine is warm.
-func (c *Chooser) coldWait(inst plank.Instance, e mesh.Engine) time.Duration {
-	rate := c.Cold.Rate(inst.Service)
+// the engine is warm. rate is the number of calls per second that it tolerates, 0 if the engines
+// of the service are never cold.
+func (c *Chooser) coldWait(inst plank.Instance, e mesh.Engine, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
@@ -37,7 +37,9 @@
 }
 
 // isCold reports whether an engine is cold by what this VM or the engine's holder knows.
-func (c *Chooser) isCold(inst plank.Instance, e mesh.Engine) bool { return c.coldWait(inst, e) > 0 }
+func (c *Chooser) isCold(inst plank.Instance, e mesh.Engine) bool {
+	return c.coldWait(inst, e, c.Cold.Rate(inst.Service)) > 0
+}
 
 // A coldMarker is a reservation whose holder is told that the engine is cold.
 type coldMarker interface {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -324,7 +324,10 @@
 			r.RetryAfter = 0
 		}
 	}
-	if until := s.coldEnd(j.service); j.pool == nil && !until.IsZero() {
+	if j.pool != nil {
+		return r // the holders say when their engines have room
+	}
+	if until := s.coldEnd(j.service); !until.IsZero() {
 		spread := time.Duration(xxhash.Sum64String(string(j.call.ID)) % uint64(pauseSpread))
 		r.Detail = "all endpoints of " + string(j.service) + " are cold"
 		r.RetryAfter = max(r.RetryAfter, until.Add(spread).Sub(s.deps.Clock.Now()))
--- a/internal/grant/cold.go
+++ b/internal/grant/cold.go
@@ -39,7 +39,7 @@
 	}
 	unbegun := 0
 	for res := range e.running {
-		if res.whileCold && !res.started {
+		if !res.started {
 			unbegun++
 		}
 	}
@@ -47,9 +47,8 @@
 	return unbegun < e.cold.pacer.MaxUnbegun(rate) && !e.cold.pacer.NextAt(rate).After(now)
 }
 
-// recordGrant records the grant of a reservation.
-func (e *Engine) recordGrant(res *reservation, now time.Time) {
-	res.whileCold = e.isCold()
+// recordGrant records a grant.
+func (e *Engine) recordGrant(now time.Time) {
 	if rate := e.coldRate(); rate > 0 {
 		e.cold.pacer.Record(rate, now)
 	}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -116,9 +116,7 @@
 	engine  *Engine // at which it is queued or runs
 	granted bool
 	started bool
-	// whileCold is set if the engine was cold at the grant.
-	whileCold bool
-	settle    func(Outcome)
+	settle  func(Outcome)
 }
 
 type slotState int
@@ -364,7 +362,7 @@
 
 func (e *Engine) admit(res *reservation, now time.Time) {
 	res.granted = true
-	e.recordGrant(res, now)
+	e.recordGrant(now)
 	e.running[res] = true
 	e.usedMemory += res.memory()
 	e.backlog += res.Prompt
