--- a/internal/cold/cold_test.go
+++ b/internal/cold/cold_test.go
@@ -220,6 +220,11 @@
 	c.now = c.now.Add(4 * time.Second)
 	assert.Assert(t, !isCold())
 
+	table.RecordRefused(endpoint)
+	assert.Assert(t, isCold(), "a replica whose process is down")
+	table.Record(endpoint, ends(0), cold.Answer, true)
+	assert.Assert(t, !isCold())
+
 	table.MarkUnreached(endpoint)
 	assert.Assert(t, isCold())
 	table.RecordContact(endpoint)
--- a/internal/cold/table.go
+++ b/internal/cold/table.go
@@ -139,6 +139,24 @@
 	e.unreached, e.at = true, t.clock.Now()
 }
 
+// RecordRefused records that a replica refused a connection: its process is down. It counts as
+// cold for the time of a start, so that the VMs to which the registration of its next run is
+// late do not send their calls as to a warm one.
+func (t *Table) RecordRefused(inst plank.Instance) {
+	if t.Rate(inst.Service) <= 0 {
+		return
+	}
+	now := t.clock.Now()
+	coldTime := t.service(inst.Service).ColdTime
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[inst.Run()]
+	if e == nil {
+		e = t.add(inst.Run())
+	}
+	e.until, e.at = later(e.until, now.Add(coldTime)), now
+}
+
 // RecordContact records an answer in which the endpoint does not state whether it is cold. An
 // engine that was not reached before counts as cold for the time of a start.
 func (t *Table) RecordContact(inst plank.Instance) {
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -68,6 +69,14 @@
 	}
 }
 
+// recordRefused records that the replica of an attempt refused the connection, if it did.
+func (s *Server) recordRefused(j *job, a *attempt) {
+	var sendErr *plank.SendError
+	if j.pool == nil && errors.As(a.err, &sendErr) && sendErr.Refused {
+		s.deps.Chooser.Cold.RecordRefused(a.inst)
+	}
+}
+
 // coldNextAt returns the earliest time of a call to a cold replica; the zero time if the
 // replica is warm or may get one now.
 func (s *Server) coldNextAt(inst plank.Instance, isCold bool) time.Time {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -239,6 +239,7 @@
 		return
 	case unsent:
 		s.deps.Health.RecordUnreachable(a.inst.ID)
+		s.recordRefused(j, a)
 		log = log.WithField("avoided", true)
 	case rejected:
 		s.deps.Health.RecordRefusal(a.inst.ID)
--- a/internal/mesh/known.go
+++ b/internal/mesh/known.go
@@ -1,6 +1,17 @@
 package mesh
 
-import "knapweedplank.org/plank"
+import (
+	"time"
+
+	"knapweedplank.org/plank"
+)
+
+// isKnown reports whether the VM counts as part of the fleet. reachableDomains are the domains
+// with a reachable VM.
+func (p *Peer) isKnown(now time.Time, reachableDomains map[plank.DomainID]bool) bool {
+	gone := p.Leaving || now.Sub(p.lastNews()) > goneTimeout && reachableDomains[p.Domain]
+	return p.isCurrent(now) || !gone
+}
 
 // Known returns the other VMs that count as part of the fleet, as Reachable counts them, and
 // the number of those that have not sent a message, whose names are not known.
@@ -16,8 +27,7 @@
 	received := make(map[string]bool, len(m.peers))
 	for vm, p := range m.peers {
 		received[p.Address] = true
-		gone := p.Leaving || now.Sub(p.lastNews()) > goneTimeout && reachableDomains[p.Domain]
-		if p.isCurrent(now) || !gone {
+		if p.isKnown(now, reachableDomains) {
 			vms = append(vms, vm)
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -472,8 +472,7 @@
 		}
 	}
 	for _, p := range peers {
-		gone := p.Leaving || now.Sub(p.lastNews()) > goneTimeout && reachableDomains[p.Domain]
-		if p.isCurrent(now) || !gone {
+		if p.isKnown(now, reachableDomains) {
 			known++
 		}
 	}
