--- a/internal/grant/cold.go
+++ b/internal/grant/cold.go
@@ -73,10 +73,14 @@
 }
 
 // refusesCold refuses a reservation that a cold engine would not get before its target, behind
-// the number of reservations ahead: its VM requests another engine at once.
+// the number of reservations ahead: its VM requests another engine at once. One whose target
+// has passed, as of a stream that is resumed, may wait until its deadline.
 func (e *Engine) refusesCold(res *reservation, ahead int, now time.Time) bool {
-	wait := e.coldWait(ahead, now)
-	if wait == 0 || !now.Add(wait).After(res.Target) {
+	wait, latest := e.coldWait(ahead, now), res.Target
+	if !latest.After(now) {
+		latest = res.Deadline
+	}
+	if wait == 0 || !now.Add(wait).After(latest) {
 		return false
 	}
 	res.settle(Outcome{Reason: "the engine is cold", RetryAfter: wait})
--- a/internal/grant/cold_test.go
+++ b/internal/grant/cold_test.go
@@ -89,6 +89,9 @@
 	late := h.reserve(e, 50*time.Millisecond, 0)
 	e.Step(h.clock.now, true)
 	assert.Assert(t, !late.Outcome.Granted && late.Outcome.RetryAfter > 50*time.Millisecond, "%+v", late.Outcome)
+	resumed := h.reserve(e, -100*time.Millisecond, 0)
+	e.Step(h.clock.now, true)
+	assert.Assert(t, resumed.Outcome == nil, "a call past its target is refused though it can be served")
 	assert.Assert(t, e.State(h.clock.now).ColdMillis > 2000 && warm.State(h.clock.now).ColdMillis == 0)
 }
 
