--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
@@ -20,6 +21,7 @@
 	View   *view.Publisher
 	Mesh   *mesh.Mesh
 	Health *health.Table
+	Cold   *cold.Table // nil if no endpoint is ever cold
 	Clock  plank.Clock
 
 	mu      sync.Mutex
@@ -97,8 +99,7 @@
 
 // exclusions counts the endpoints of a service that a choice left out.
 type exclusions struct {
-	leaving, paused int
-	outOfService    int
+	leaving, paused, outOfService, cold int
 }
 
 // add counts an endpoint if it leaves or wants a pause, and reports whether it does.
@@ -125,6 +126,9 @@
 	if x.outOfService > 0 {
 		fields["out_of_service"] = x.outOfService
 	}
+	if x.cold > 0 {
+		fields["cold"] = x.cold
+	}
 }
 
 // logFields returns the log fields of a choice.
@@ -134,6 +138,9 @@
 		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
 		"lately": e.RecentlyResident, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.candidates,
 	}
+	if e.ColdWait > 0 {
+		fields["cold_wait_ms"] = e.ColdWait.Milliseconds()
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -146,6 +153,7 @@
 	var engines []pick.Engine
 	var states []mesh.Engine
 	var choice Choice
+	coldRate := c.Cold.Rate(service)
 	for _, inst := range v.Endpoints(service) {
 		if choice.excluded.addOut(inst, v) || choice.excluded.add(inst, c.Health) {
 			continue
@@ -163,6 +171,7 @@
 		} else {
 			state = mesh.Engine{}
 		}
+		e.ColdWait = c.coldWait(inst, state, coldRate)
 		e.Avoid = e.Avoid || !e.StateKnown || v.HoldsBack(inst, call.Hash, now)
 		engines = append(engines, e)
 		states = append(states, state)
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"errors"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -98,3 +99,7 @@
 
 // SetContended sets whether loads are ordered by their value.
 func (e *Engine) SetContended(on bool) { e.contended = on }
+// FailStatus processes a status that could not be read.
+func (e *Engine) FailStatus(now time.Time) {
+	e.handleStatus(plank.EngineStatus{}, errors.New("no answer"), now)
+}
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -190,7 +190,9 @@
 		e.handleUnanswered(o, now)
 		return false
 	}
+	wasUnresponsive := e.unresponsive
 	e.unresponsive = false
+	e.markColdContact(wasUnresponsive)
 	if result == plank.OrderPending || o.Unload {
 		e.lastOrderAt = now
 	}
@@ -282,6 +284,7 @@
 		slot.pollAt = now.Add(pollInterval)
 		if e.unansweredCount >= maxUnanswered {
 			e.unresponsive = true
+			e.markColdContact(true)
 			e.invalidateStatus(now)
 		}
 		return
@@ -289,6 +292,7 @@
 	e.unanswered = &o
 	if e.unansweredCount >= maxUnanswered {
 		e.unresponsive = true
+		e.markColdContact(true)
 		e.invalidateStatus(now)
 	}
 	slot := e.slots[o.Target.Adapter]
@@ -313,7 +317,9 @@
 func (e *Engine) handleStatus(s plank.EngineStatus, err error, now time.Time) {
 	e.busy = false
 	e.nextStatusAt = now.Add(statusInterval)
+	wasUnresponsive := e.unresponsive
 	e.unresponsive = err != nil
+	e.markColdContact(wasUnresponsive)
 	if err != nil {
 		e.statusKnown = false
 		e.statusNotBefore = now.Add(basePollInterval)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -59,6 +60,9 @@
 	// IsOutOfService reports whether the operators took a failure domain out of service. Its
 	// engines get no calls, no orders and no status requests meanwhile. Nil for none.
 	IsOutOfService func(plank.DomainID) bool
+	// Cold holds which engines are cold; nil if none ever is. ColdBound limits their requests.
+	Cold      *cold.Table
+	ColdBound cold.Bound
 	// CountOrder is called with the result of each order.
 	CountOrder func(unload bool, result string)
 	// PublishColdLoads publishes to other VMs how many cold loads this VM has in
@@ -210,12 +214,12 @@
 // stepEngine admits queued calls and starts the next action. It reports whether
 // the length of the queue changed.
 func (s *Scheduler) stepEngine(e *Engine, now time.Time, mayLoadCold func() bool) bool {
-	before := len(e.queue)
+	before, turned := len(e.queue), e.updateCold(now)
 	e.admitQueued(now)
 	if a, ok := e.nextAction(now, mayLoadCold); ok {
 		s.execute(e, a)
 	}
-	return before != len(e.queue)
+	return before != len(e.queue) || turned
 }
 
 // moveWaiting moves queued calls to engines that have capacity for them.
@@ -367,7 +371,9 @@
 	if old != nil {
 		s.removeEngine(old, "the engine started anew")
 	}
-	s.engines[h.Instance.ID] = NewEngine(h, &s.deps)
+	e := NewEngine(h, &s.deps)
+	e.keepCold(old)
+	s.engines[h.Instance.ID] = e
 	s.sortEngines()
 	s.changed[h.Instance.ID] = true
 }
