--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -9,6 +9,7 @@
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
+	"knapweedplank.org/plank/internal/prefix"
 	"knapweedplank.org/plank/internal/view"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -21,6 +22,11 @@
 	Mesh   *mesh.Mesh
 	Health *health.Table
 	Clock  plank.Clock
+	// LearnsCost reports whether the estimates for a service's calls include what engines
+	// keep of prompts; nil for no service.
+	LearnsCost func(plank.ServiceID) bool
+	// Directories returns the directories of kept parts of the engines held by this VM.
+	Directories func() map[plank.Run]*prefix.Directory
 
 	mu      sync.Mutex
 	holders holderTable
@@ -128,6 +134,9 @@
 		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
 		"lately": e.RecentlyResident, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.candidates,
 	}
+	if e.Kept > 0 {
+		fields["kept"] = e.Kept
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -161,6 +170,7 @@
 		engines = append(engines, e)
 		states = append(states, state)
 	}
+	c.setKept(service, engines, states, call)
 	i, expected := pick.BestEngine(engines, call, skip)
 	if i < 0 {
 		return choice, false
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -171,6 +171,7 @@
 		ID: j.call.ID, Adapter: call.Adapter, Version: j.view.Versions[call.Adapter], Prompt: call.Prompt, Output: call.Output,
 		Priority: j.priority, Target: j.target, Deadline: until, Skip: s.excluded(j, skip),
 	}
+	s.setParts(j, &call, &r)
 	choice, ok := s.deps.Chooser.Choose(j.service, j.pool, call, func(id plank.EndpointID) bool { return skip[id] })
 	if !choice.AnyStateKnown {
 		return s.reserveAny(ctx, j, call, r)
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -99,9 +99,9 @@
 // Version implements Reservation.
 func (l localReservation) Version() plank.VersionNumber { return l.Outcome.Version }
 
-// MarkFailed implements Reservation. It does nothing: the holder is this VM, whose
-// health table already has the failure.
-func (localReservation) MarkFailed(bool) {}
+// MarkFailed implements Reservation. The holder is this VM, whose health table already has the
+// failure.
+func (l localReservation) MarkFailed(bool) { l.Reservation.MarkFailed() }
 
 // ackTimeout is how long a holder may take to send its first reply, which may only
 // report that the request is queued. It detects holders that are cut off.
@@ -167,7 +167,7 @@
 	req := &wire.ReserveRequest{
 		Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version), Prompt: float64(r.Prompt), Output: float64(r.Output),
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
-		TargetMicros: r.Target.Sub(now).Microseconds(),
+		TargetMicros: r.Target.Sub(now).Microseconds(), Parts: wireParts(r.Parts),
 	}
 	for _, id := range r.Skip {
 		req.Skip = append(req.Skip, string(id))
@@ -312,6 +312,7 @@
 		ID: plank.RequestID(req.Request), Adapter: plank.ParseAdapterRef(req.Adapter), Version: plank.VersionNumber(req.Version),
 		Prompt: plank.Tokens(req.Prompt), Output: plank.Tokens(req.Output), Priority: int(req.Priority),
 		Target: now.Add(time.Duration(req.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(req.WaitMicros) * time.Microsecond),
+		Parts: promptParts(req.Parts),
 	}
 	for _, id := range req.Skip {
 		r.Skip = append(r.Skip, plank.EndpointID(id))
@@ -331,10 +332,14 @@
 		return
 	}
 	defer res.Release()
-	b.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": req.Request, "endpoint": res.Instance.ID, "adapter": req.Adapter, "granted": res.Granted, "reason": res.Reason, "version": res.Outcome.Version,
 		"waited_ms": b.Clock.Now().Sub(received).Milliseconds(),
-	}).Info("grant: reservation request answered")
+	}
+	if res.Kept > 0 {
+		fields["kept"] = res.Kept
+	}
+	b.Log.WithFields(fields).Info("grant: reservation request answered")
 	replies.sendFinal(&wire.ReserveReply{Granted: res.Granted, Endpoint: string(res.Instance.ID), Version: uint64(res.Outcome.Version), Reason: res.Reason, RetryMicros: res.RetryAfter.Microseconds()})
 	if !res.Granted {
 		return
@@ -354,8 +359,10 @@
 	case n.Missing:
 		res.MarkAdapterMissing()
 	case n.Failed && n.Unreached:
+		res.MarkFailed()
 		b.Chooser.Health.RecordUnreachable(id)
 	case n.Failed:
+		res.MarkFailed()
 		b.Chooser.Health.RecordFailure(id)
 	}
 }
@@ -368,7 +375,7 @@
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now())}
+	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), Parts: r.Parts}
 	c, ok := b.Chooser.Choose(service, pool, call, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.StateKnown {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: noCapacityRetry.Microseconds()}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/prefix"
 	"knapweedplank.org/plank/internal/recent"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -100,6 +101,8 @@
 	Deadline time.Time
 	// Skip lists engines that must not be used for the call.
 	Skip []plank.EndpointID
+	// Parts are the parts of the prompt, in order.
+	Parts []plank.PromptPart
 }
 
 // An Outcome is the final result of a request.
@@ -108,6 +111,7 @@
 	Version    plank.VersionNumber
 	Reason     string
 	RetryAfter time.Duration // when capacity is expected; 0 if unknown
+	Kept       plank.Tokens  // of the prompt, that the engine is expected not to process again
 }
 
 // A reservation is a request and its state.
@@ -117,6 +121,12 @@
 	granted bool
 	started bool
 	settle  func(Outcome)
+
+	prompt    *prefix.Prompt // nil if parts are not considered
+	unread    plank.Tokens   // of the prompt, to be processed; as of the grant once granted
+	use       *prefix.Use    // of the engine's parts while granted; nil without a prompt
+	ownMemory plank.Tokens   // that no other call shares, while granted
+	failed    bool           // the engine failed the call
 }
 
 type slotState int
@@ -204,7 +214,12 @@
 	// adapter keeps its slot, whatever the state of the slot is.
 	users      map[plank.AdapterRef]int
 	usedMemory plank.Tokens
-	backlog    plank.Tokens // prompts of granted reservations that have not started
+	// learnsCost reports whether parts of a service's prompts are considered; parts are those
+	// that the engine keeps, and partMemory the tokens of those in use, which usedMemory includes.
+	learnsCost func(plank.ServiceID) bool
+	parts      *prefix.Directory
+	partMemory plank.Tokens
+	backlog    plank.Tokens // unread tokens of granted reservations that have not started
 	prefill    float64      // decayed count of prompt tokens granted, as of prefillAt
 	prefillAt  time.Time    // when prefill was last updated
 }
@@ -215,7 +230,7 @@
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
 		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
-		users: make(map[plank.AdapterRef]int),
+		users: make(map[plank.AdapterRef]int), learnsCost: deps.learnsCost, parts: prefix.NewDirectory(prefix.MaxEntries(1)),
 	}
 	for _, ref := range deps.RecentAdapters(h.Instance) {
 		e.recent.Add(ref)
@@ -232,6 +247,7 @@
 // reserve queues a reservation.
 func (e *Engine) reserve(res *reservation) {
 	res.engine = e
+	e.setPrompt(res)
 	e.queue = append(e.queue, res)
 }
 
@@ -239,8 +255,16 @@
 // which ends its prefill.
 func (e *Engine) markStarted(res *reservation) {
 	if e.running[res] && !res.started {
+		e.endPrefill(res)
+		e.beginParts(res)
+	}
+}
+
+// endPrefill removes the prompt of a granted reservation from the backlog.
+func (e *Engine) endPrefill(res *reservation) {
+	if !res.started {
 		res.started = true
-		e.backlog -= res.Prompt
+		e.backlog -= res.unread
 	}
 }
 
@@ -250,6 +274,7 @@
 	if slot := e.slots[res.Adapter]; slot != nil {
 		slot.state = uncertain
 	}
+	e.parts.Forget(res.Adapter)
 	e.invalidateStatus(now)
 }
 
@@ -259,9 +284,9 @@
 		e.queue = slices.DeleteFunc(e.queue, func(q *reservation) bool { return q == res })
 		return
 	}
-	e.markStarted(res)
+	e.endPrefill(res)
 	delete(e.running, res)
-	e.usedMemory -= res.memory()
+	e.releaseParts(res)
 	if e.users[res.Adapter]--; e.users[res.Adapter] <= 0 {
 		delete(e.users, res.Adapter)
 	}
@@ -290,8 +315,10 @@
 	slices.SortStableFunc(e.queue, func(a, b *reservation) int { return a.compare(b, now) })
 	waiting := e.queue[:0]
 	for _, res := range e.queue {
+		kept := e.estimate(res)
+		res.unread = res.Prompt - kept.Kept
 		switch {
-		case e.fits(res) && e.serves(res, now):
+		case e.fits(res, kept) && e.serves(res, now):
 			e.admit(res, now)
 		case e.unresponsive:
 			res.settle(Outcome{Reason: "the engine does not answer"})
@@ -324,15 +351,15 @@
 }
 
 // fits reports whether the batch, the KV cache and the backlog have capacity for a
-// reservation. An engine without running calls accepts any.
-func (e *Engine) fits(res *reservation) bool {
+// reservation of whose prompt the engine keeps a part. An engine without running calls accepts any.
+func (e *Engine) fits(res *reservation, kept prefix.Estimate) bool {
 	if len(e.running) == 0 {
 		return true
 	}
-	if e.backlog > 0 && e.backlog+res.Prompt > maxBacklog {
+	if e.backlog > 0 && e.backlog+res.Prompt-kept.Kept > maxBacklog {
 		return false
 	}
-	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory() <= e.limits.Memory
+	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory()-kept.InUse <= e.limits.Memory
 }
 
 // serves reports whether the reservation's adapter is resident in an acceptable
@@ -360,10 +387,10 @@
 func (e *Engine) admit(res *reservation, now time.Time) {
 	res.granted = true
 	e.running[res] = true
-	e.usedMemory += res.memory()
-	e.backlog += res.Prompt
-	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.Prompt), now
-	out := Outcome{Granted: true}
+	e.acquireParts(res)
+	e.backlog += res.unread
+	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.unread), now
+	out := Outcome{Granted: true, Kept: res.Prompt - res.unread}
 	e.users[res.Adapter]++
 	if slot := e.slots[res.Adapter]; slot != nil && res.Adapter.Name != "" {
 		slot.uses = slot.agedUses(now) + 1
@@ -388,7 +415,7 @@
 func (e *Engine) pendingPrefill() plank.Tokens {
 	n := e.backlog
 	for _, res := range e.queue {
-		n += res.Prompt
+		n += res.unread
 	}
 	return n
 }
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -81,7 +81,11 @@
 	for _, e := range engines {
 		if e.inst.Service == res.engine.inst.Service && !slices.Contains(res.Skip, e.inst.ID) && allowed(e) {
 			found = append(found, e)
-			views = append(views, e.view(res.Adapter, now))
+			v := e.view(res.Adapter, now)
+			if !v.Stale {
+				v.Kept = e.estimate(res).Kept
+			}
+			views = append(views, v)
 		}
 	}
 	i, _ := pick.BestEngine(views, w, func(plank.EndpointID) bool { return false })
@@ -170,7 +174,7 @@
 // accepts reports whether a reservation queued elsewhere could proceed on this
 // engine at once or after the load of its adapter.
 func (e *Engine) accepts(res *reservation, now time.Time, mayLoadCold bool, c capacity) bool {
-	if !c.usable || !e.fits(res) {
+	if !c.usable || !e.fits(res, e.estimate(res)) {
 		return false
 	}
 	if slot := e.slots[res.Adapter]; slot != nil {
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -218,6 +218,7 @@
 	} else {
 		e.handleLoaded(o, result, now)
 	}
+	e.retainParts()
 	return false
 }
 
@@ -335,6 +336,7 @@
 		e.nextStatusAt = now.Add(basePollInterval)
 	}
 	e.updateSlots(s, now)
+	e.retainParts()
 	for ref := range e.slots {
 		if !e.recent.Has(ref) {
 			e.recent.Add(ref)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -67,6 +67,9 @@
 	// ReportFenced is called when an engine refused an order of the given term
 	// because it has seen a higher one.
 	ReportFenced func(domain plank.DomainID, term plank.Term)
+	// LearnsCost reports whether the estimates for a service's calls include what engines
+	// keep of prompts; nil for no service.
+	LearnsCost func(plank.ServiceID) bool
 }
 
 // A Scheduler runs the engines of the domains whose dispatch lease this VM holds.
@@ -76,6 +79,8 @@
 	ctx  context.Context
 	cmds chan func()
 
+	directories directories
+
 	// The fields below are accessed only by the run goroutine.
 	engines       map[plank.EndpointID]*Engine
 	sorted        []*Engine // engines, sorted by ID
@@ -252,6 +257,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
 		s.sorted = append(s.sorted, s.engines[id])
 	}
+	s.directories.publish(s.sorted)
 }
 
 // execute performs an action in a new goroutine and posts its result to the run
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,8 +258,9 @@
 			default: // the loss of this lease is queued already
 			}
 		},
+		LearnsCost: n.learnsCost,
 	})
-	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock}
+	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock, LearnsCost: n.learnsCost, Directories: n.scheduler.Directories}
 	n.broker = &front.Broker{Local: n.scheduler, LastPause: func() (length, ago time.Duration) { return n.delay.LastPause(n.clock.Now()) }, Chooser: n.chooser, Transport: n.transport, Clock: n.clock, Log: n.log}
 }
 
