--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -43,6 +43,7 @@
 	baseLoadedAt time.Time // when the load of the base model ends
 	loadTime     time.Duration
 	avoid        bool      // the engine is to get no calls
+	learnsCost   bool      // parts of prompts are considered
 	pausedUntil  time.Time // until when the engine wants no orders
 	// fate decides what happens to an order: its response may be lost, or it may be
 	// carried out late.
@@ -80,6 +81,7 @@
 		PausedUntil:    func(plank.Run) time.Time { return h.pausedUntil },
 		InUseElsewhere: func(_ plank.EndpointID, r plank.AdapterRef) bool { return h.inUse[r] },
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return h.recent },
+		LearnsCost:     func(plank.ServiceID) bool { return h.learnsCost },
 	})
 }
 
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -57,6 +57,24 @@
 	return len(ms)
 }
 
+// BestEngine returns the engine with the lowest cost for a request.
+func BestEngine(engines []*Engine, r Request, now time.Time) *Engine {
+	res := &reservation{Request: r, engine: engines[0]}
+	engines[0].setPrompt(res)
+	return bestEngine(engines, res, now, (*Engine).isReady)
+}
+
+// MarkAdapterMissing records that the engine refused a call because its adapter is missing.
+func (e *Engine) MarkAdapterMissing(res *TestReservation, now time.Time) {
+	e.markAdapterMissing(res.res, now)
+}
+
+// MarkFailed records that the engine failed a call.
+func (e *Engine) MarkFailed(res *TestReservation) { e.markFailed(res.res) }
+
+// KeptParts returns the number of prompt parts that the engine is expected to keep.
+func (e *Engine) KeptParts() int { return e.parts.Len() }
+
 // Endpoint returns the engine at which the reservation is queued or runs.
 func (res *TestReservation) Endpoint() plank.EndpointID { return res.res.engine.inst.ID }
 
