--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -146,8 +146,8 @@
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
 	v := c.View.Load()
 	newest := v.Versions[call.Adapter]
-	var engines []pick.Engine
-	var states []mesh.Engine
+	engines := make([]pick.Engine, 0, len(v.Endpoints(service)))
+	states := make([]mesh.Engine, 0, cap(engines))
 	var choice Choice
 	for _, inst := range v.Endpoints(service) {
 		if choice.excluded.add(inst, c.Health) {
--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// setKept sets what the engines keep of the call's prompt. Entries of states without a state
-// belong to engines that this VM knows nothing of.
+// setKept sets what the engines keep of the call's prompt. It leaves those at 0 that do not hold
+// the call's adapter, as far as known.
 func (c *Chooser) setKept(service plank.ServiceID, engines []pick.Engine, states []mesh.Engine, call pick.Call) {
 	if len(call.Parts) == 0 || c.Directories == nil || !c.learnsCost(service) {
 		return
@@ -40,25 +40,39 @@
 	if len(held) == 0 {
 		return
 	}
-	prompt := prefix.NewPrompt(call.Adapter, call.Prompt, call.Parts)
+	prompt, name := prefix.NewPrompt(call.Adapter, call.Prompt, call.Parts), call.Adapter.String()
 	var shared plank.Tokens // the most that an engine held by this VM keeps
+	var others []int        // engines of other holders that have the adapter
 	for i := range engines {
+		if !isServed(&engines[i], states[i], call) {
+			continue
+		}
 		d := held[engines[i].Instance.Run()]
-		if d == nil || !isServed(&engines[i], states[i], call) {
+		if d == nil {
+			others = append(others, i)
 			continue
 		}
-		est := d.Estimate(prompt, residentVersion(states[i].State, call.Adapter))
+		est := d.Estimate(prompt, placeVersion(states[i].State, name))
 		engines[i].Kept = est.Kept
 		shared = max(shared, est.Shared)
 	}
 	if shared == 0 {
 		return
 	}
-	for i := range engines {
-		if held[engines[i].Instance.Run()] == nil && isServed(&engines[i], states[i], call) {
-			engines[i].Kept = otherHolderKept * shared
+	for _, i := range others {
+		engines[i].Kept = otherHolderKept * shared
+	}
+}
+
+// placeVersion returns the version of an adapter that an engine's state lists, or 0 if it lists
+// none.
+func placeVersion(s *wire.EngineState, name string) plank.VersionNumber {
+	for _, p := range s.Places {
+		if p.Adapter == name {
+			return plank.VersionNumber(p.Version)
 		}
 	}
+	return 0
 }
 
 // isServed reports whether the engine holds the newest version of the call's adapter.
--- a/internal/front/unmanaged.go
+++ b/internal/front/unmanaged.go
@@ -29,10 +29,5 @@
 // residentVersion returns the version of an adapter that an engine's state lists,
 // or 0 if it lists none.
 func residentVersion(s *wire.EngineState, ref plank.AdapterRef) plank.VersionNumber {
-	for _, p := range s.Places {
-		if p.Adapter == ref.String() {
-			return plank.VersionNumber(p.Version)
-		}
-	}
-	return 0
+	return placeVersion(s, ref.String())
 }
--- a/internal/prefix/directory.go
+++ b/internal/prefix/directory.go
@@ -112,16 +112,6 @@
 	}
 }
 
-// kept returns the number of leading parts that the engine keeps for a version of the adapter.
-func (d *Directory) kept(p *Prompt, version plank.VersionNumber) int {
-	for i := range p.parts {
-		if e := d.entries[p.parts[i].key]; e == nil || e.version != version {
-			return i
-		}
-	}
-	return len(p.parts)
-}
-
 // Forget removes the parts of an adapter.
 func (d *Directory) Forget(ref plank.AdapterRef) {
 	d.mu.Lock()
@@ -159,12 +149,17 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, pt := range p.parts[:d.kept(p, version)] {
+	for i := range p.parts {
+		pt := &p.parts[i]
+		e := d.entries[pt.key]
+		if e == nil || e.version != version {
+			break
+		}
 		est.Kept += pt.tokens
 		if pt.shared {
 			est.Shared += pt.tokens
 		}
-		if d.entries[pt.key].users > 0 {
+		if e.users > 0 {
 			est.InUse += pt.tokens
 		}
 	}
@@ -227,8 +222,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	u := &Use{dir: d, prompt: p, version: version}
-	for _, pt := range p.parts[:d.kept(p, version)] {
-		u.add(d.entries[pt.key])
+	for _, pt := range p.parts {
+		e := d.entries[pt.key]
+		if e == nil || e.version != version {
+			break
+		}
+		u.add(e)
 	}
 	u.known, u.kept = len(u.entries), u.tokens
 	d.keptTokens += u.kept
