--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -23,11 +23,16 @@
 	return c.LearnsCost != nil && c.LearnsCost(service)
 }
 
-// setParts adds the parts of the job's prompt to a call and to the request for its reservation.
+// setParts adds the parts of the job's prompt and the limit of its output to a call and to the
+// request for its reservation.
 func (s *Server) setParts(j *job, call *pick.Call, r *grant.Request) {
-	if s.deps.Chooser.learnsCost(j.service) {
-		call.Parts, r.Parts = j.call.PromptParts, j.call.PromptParts
+	if !s.deps.Chooser.learnsCost(j.service) {
+		return
 	}
+	call.Parts, r.Parts = j.call.PromptParts, j.call.PromptParts
+	// No engine puts out more than this before the call's deadline.
+	fastest := plank.Tokens(j.deadline.Sub(s.deps.Clock.Now()) / grant.FastestStep)
+	r.MaxOutput = min(j.call.MaxOutputTokens, max(r.Output, fastest))
 }
 
 // setKept sets what the engines keep of the call's prompt. It leaves those at 0 that do not hold
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -167,7 +167,7 @@
 	req := &wire.ReserveRequest{
 		Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version), Prompt: float64(r.Prompt), Output: float64(r.Output),
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
-		TargetMicros: r.Target.Sub(now).Microseconds(), Parts: wireParts(r.Parts),
+		TargetMicros: r.Target.Sub(now).Microseconds(), Parts: wireParts(r.Parts), MaxOutput: float64(r.MaxOutput),
 	}
 	for _, id := range r.Skip {
 		req.Skip = append(req.Skip, string(id))
@@ -312,7 +312,7 @@
 		ID: plank.RequestID(req.Request), Adapter: plank.ParseAdapterRef(req.Adapter), Version: plank.VersionNumber(req.Version),
 		Prompt: plank.Tokens(req.Prompt), Output: plank.Tokens(req.Output), Priority: int(req.Priority),
 		Target: now.Add(time.Duration(req.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(req.WaitMicros) * time.Microsecond),
-		Parts: promptParts(req.Parts),
+		Parts: promptParts(req.Parts), MaxOutput: plank.Tokens(req.MaxOutput),
 	}
 	for _, id := range req.Skip {
 		r.Skip = append(r.Skip, plank.EndpointID(id))
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -91,10 +91,12 @@
 	ID      plank.RequestID
 	Adapter plank.AdapterRef
 	// Version is the minimum adapter version; 0 means any.
-	Version  plank.VersionNumber
-	Prompt   plank.Tokens
-	Output   plank.Tokens // expected number
-	Priority int          // lower values go first
+	Version plank.VersionNumber
+	Prompt  plank.Tokens
+	Output  plank.Tokens // expected number
+	// MaxOutput is the maximum of the output; 0 if not known.
+	MaxOutput plank.Tokens
+	Priority  int // lower values go first
 	// Target is the time by which the first token is due.
 	Target time.Time
 	// Deadline is when the request is refused if it has not been granted.
@@ -127,6 +129,8 @@
 	use       *prefix.Use    // of the engine's parts while granted; nil without a prompt
 	ownMemory plank.Tokens   // that no other call shares, while granted
 	failed    bool           // the engine failed the call
+	spread    plank.Tokens   // of the output beyond Output, as counted in Engine.overruns
+	overrunAt time.Time      // when the output may exceed Output; zero before the first event
 }
 
 type slotState int
@@ -219,9 +223,14 @@
 	learnsCost func(plank.ServiceID) bool
 	parts      *prefix.Directory
 	partMemory plank.Tokens
-	backlog    plank.Tokens // unread tokens of granted reservations that have not started
-	prefill    float64      // decayed count of prompt tokens granted, as of prefillAt
-	prefillAt  time.Time    // when prefill was last updated
+	// overruns is what granted calls may put out beyond their estimates, without those that
+	// may have exceeded them, whose maximum counts in usedMemory. nextOverrun is when the
+	// next call may exceed its own; zero for none.
+	overruns    overruns
+	nextOverrun time.Time
+	backlog     plank.Tokens // unread tokens of granted reservations that have not started
+	prefill     float64      // decayed count of prompt tokens granted, as of prefillAt
+	prefillAt   time.Time    // when prefill was last updated
 }
 
 // NewEngine returns an engine whose status has not been read yet.
@@ -253,8 +262,9 @@
 
 // markStarted records that the first event of a granted reservation has arrived,
 // which ends its prefill.
-func (e *Engine) markStarted(res *reservation) {
+func (e *Engine) markStarted(res *reservation, now time.Time) {
 	if e.running[res] && !res.started {
+		e.startOutput(res, now)
 		e.endPrefill(res)
 		e.beginParts(res)
 	}
@@ -287,6 +297,7 @@
 	e.endPrefill(res)
 	delete(e.running, res)
 	e.releaseParts(res)
+	e.removeOverrun(res)
 	if e.users[res.Adapter]--; e.users[res.Adapter] <= 0 {
 		delete(e.users, res.Adapter)
 	}
@@ -312,12 +323,15 @@
 // and refuses those that have expired or whose engine does not respond.
 func (e *Engine) admitQueued(now time.Time) {
 	e.expire(now)
+	e.countOverruns(now)
 	slices.SortStableFunc(e.queue, func(a, b *reservation) int { return a.compare(b, now) })
 	waiting := e.queue[:0]
 	for _, res := range e.queue {
 		kept := e.estimate(res)
 		res.unread = res.Prompt - kept.Kept
 		switch {
+		case e.exceedsMemory(res):
+			res.settle(Outcome{Reason: "the call may need more than the engine's memory"})
 		case e.fits(res, kept) && e.serves(res, now):
 			e.admit(res, now)
 		case e.unresponsive:
@@ -359,7 +373,7 @@
 	if e.backlog > 0 && e.backlog+res.Prompt-kept.Kept > maxBacklog {
 		return false
 	}
-	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory()-kept.InUse <= e.limits.Memory
+	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory()-kept.InUse+e.overruns.with(e.spread(res), 1).reserve() <= e.limits.Memory
 }
 
 // serves reports whether the reservation's adapter is resident in an acceptable
@@ -388,6 +402,7 @@
 	res.granted = true
 	e.running[res] = true
 	e.acquireParts(res)
+	e.addOverrun(res)
 	e.backlog += res.unread
 	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.unread), now
 	out := Outcome{Granted: true, Kept: res.Prompt - res.unread}
@@ -455,7 +470,7 @@
 func (e *Engine) wireState(now time.Time) *wire.EngineState {
 	s := &wire.EngineState{
 		Endpoint: string(e.inst.ID), Born: e.inst.Born.UnixMilli(), Silent: e.unresponsive, Bare: e.hasNoBase(), Wanted: uint32(e.wantedAdapters()),
-		Backlog: float64(e.pendingPrefill()), Reading: e.prefillRate(now), Running: uint32(len(e.running)), Used: float64(e.usedMemory), Queued: uint32(len(e.queue)),
+		Backlog: float64(e.pendingPrefill()), Reading: e.prefillRate(now), Running: uint32(len(e.running)), Used: float64(e.usedMemory + e.overruns.reserve()), Queued: uint32(len(e.queue)),
 	}
 	for _, slot := range e.slots {
 		s.Places = append(s.Places, &wire.Place{
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -25,7 +25,10 @@
 }
 
 // MarkStarted records the first event of a reservation.
-func (e *Engine) MarkStarted(res *TestReservation) { e.markStarted(res.res) }
+func (e *Engine) MarkStarted(res *TestReservation) { e.markStarted(res.res, time.Time{}) }
+
+// Begin records the first event of a reservation at a time.
+func (e *Engine) Begin(res *TestReservation, now time.Time) { e.markStarted(res.res, now) }
 
 // Release releases a reservation.
 func (e *Engine) Release(res *TestReservation, now time.Time) { e.release(res.res, now) }
--- a/internal/grant/parts_test.go
+++ b/internal/grant/parts_test.go
@@ -141,11 +141,14 @@
 	}
 }
 
-// While the service does not learn costs, nothing may change: all tokens of all prompts count.
+// While the service does not learn costs, nothing may change: all tokens of all prompts count, and
+// outputs count as estimated.
 func TestPartsAreIgnoredWhileInactive(t *testing.T) {
 	h := newHarness(limits)
 	h.begin(t, adapter(1), "b", "1")
-	res := h.engine.Reserve(h.request(adapter(1), "b", "1"))
+	r := h.request(adapter(1), "b", "1")
+	r.MaxOutput = limits.Memory
+	res := h.engine.Reserve(r)
 	h.advance(10 * time.Millisecond)
 	assert.Equal(t, res.Outcome.Kept, plank.Tokens(0))
 	state := h.engine.State(h.now)
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -424,7 +424,7 @@
 // MarkStarted records that the first event of the call has arrived.
 func (res *Reservation) MarkStarted() {
 	res.scheduler.post(func() {
-		res.state.engine.markStarted(res.state)
+		res.state.engine.markStarted(res.state, res.scheduler.deps.Clock.Now())
 		res.scheduler.changed[res.state.engine.inst.ID] = true
 	})
 }
