--- a/internal/front/export_test.go
+++ b/internal/front/export_test.go
@@ -4,4 +4,6 @@
 var (
 	HandleNote        = (*Broker).handleNote
 	LatestReservation = latestReservation
+	NewReserveRequest = newReserveRequest
+	PromptParts       = promptParts
 )
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -36,7 +36,9 @@
 	*front.Server
 	view   *view.Publisher
 	health *health.Table
-	parts  *poison.PartTable
+	// learnsCost is set if the services learn costs.
+	learnsCost bool
+	parts      *poison.PartTable
 	// reserve returns the engine that is granted for the nth reservation, from 0.
 	reserve func(n int) plank.EndpointID
 	// send returns the answer of an endpoint.
@@ -44,6 +46,7 @@
 
 	mu           sync.Mutex
 	reservations int
+	request      grant.Request // the latest
 	sent         []plank.EndpointID
 }
 
@@ -96,7 +99,7 @@
 	h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
 	h.Server = front.New(front.Deps{
 		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
-		Chooser: &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock}, Budgets: front.NewBudgets(0.2, 10),
+		Chooser: &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock, LearnsCost: func(plank.ServiceID) bool { return h.learnsCost }}, Budgets: front.NewBudgets(0.2, 10),
 		Health: h.health, Poison: poison.New(clock, nil), Parts: h.parts,
 		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} }, Stopping: context.Background(),
 		IsDown: func(plank.Instance) bool { return false }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
@@ -125,8 +128,9 @@
 func (grantedReservation) Release()                     {}
 
 // Reserve implements front.Reserver.
-func (h *harness) Reserve(_ context.Context, _ mesh.Engine, inst plank.Instance, _ grant.Request) (plank.Instance, front.Reservation, error) {
+func (h *harness) Reserve(_ context.Context, _ mesh.Engine, inst plank.Instance, r grant.Request) (plank.Instance, front.Reservation, error) {
 	h.mu.Lock()
+	h.request = r
 	n := h.reservations
 	h.reservations++
 	h.mu.Unlock()
