--- a/internal/grant/parts_test.go
+++ b/internal/grant/parts_test.go
@@ -1,6 +1,7 @@
 package grant_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -156,3 +157,38 @@
 	assert.Equal(t, state.Used, 20_000.0)
 	assert.Equal(t, h.engine.KeptParts(), 0)
 }
+
+// Choices use the directories of the engines that this VM holds now. Those of a former run of an
+// engine, or of engines that it holds no longer, would draw calls to engines that keep nothing.
+func TestDirectoriesOfHeldEngines(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newScheduler(ctx, new(idleEngine), func() bool { return false })
+	inst := plank.Instance{ID: "e1", Service: "llm", Domain: "d", Born: time.UnixMilli(1)}
+	sync := func(held ...grant.HeldEngine) { s.Sync(held, 1) }
+	held := grant.HeldEngine{Instance: inst, Limits: limits, Term: 7}
+	request := func(born time.Time) *grant.Reservation {
+		t.Helper()
+		h := &harness{now: time.Now()}
+		res, err := s.Reserve(ctx, "e1", born, h.request(plank.AdapterRef{Base: "m", Name: "a"}, "b", "1"))
+		assert.NilError(t, err)
+		assert.Assert(t, res.Granted, res.Reason)
+		return res
+	}
+	sync(held)
+	first := request(inst.Born)
+	first.MarkStarted()
+	first.Release()
+	second := request(inst.Born)
+	assert.Equal(t, second.Kept, plank.Tokens(9000))
+	assert.Equal(t, s.Directories()[inst.Run()].Len(), 2)
+	assert.Equal(t, s.PartStats().KeptTokens, plank.Tokens(9000))
+	second.MarkFailed()
+	second.Release()
+	restarted := held
+	restarted.Instance.Born = time.UnixMilli(2)
+	sync(restarted)
+	assert.Equal(t, request(restarted.Instance.Born).Kept, plank.Tokens(0))
+	assert.Assert(t, s.Directories()[inst.Run()] == nil && s.Directories()[restarted.Instance.Run()] != nil)
+	assert.Equal(t, s.PartStats().KeptTokens, plank.Tokens(9000), "the count must not fall")
+}
--- a/internal/grant/paused_test.go
+++ b/internal/grant/paused_test.go
@@ -29,16 +29,11 @@
 	return plank.OrderDone, nil
 }
 
-// A process that had been paused granted calls and gave orders under a lease that had
-// ended meanwhile, until it looked at its leases again.
-func TestPausedSchedulerUsesNoLease(t *testing.T) {
+// newScheduler starts a scheduler of engines of service llm, which learns costs.
+func newScheduler(ctx context.Context, engine *idleEngine, isUnconfirmed func() bool) *grant.Scheduler {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	engine := new(idleEngine)
-	var paused atomic.Bool
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	s := grant.NewScheduler(ctx, grant.Deps{
+	return grant.NewScheduler(ctx, grant.Deps{
 		Self: "vm", Controller: engine, Evictor: place.LowestValue{}, Clock: plank.SystemClock{}, Log: log.WithField("vm", "vm"),
 		NewestVersion:  func(plank.AdapterRef) plank.VersionNumber { return 0 },
 		SupersededAt:   func(plank.AdapterRef, plank.VersionNumber) time.Time { return time.Time{} },
@@ -46,8 +41,19 @@
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return nil }, RemoteColdLoads: func() int { return 0 },
 		Health: func(plank.EndpointID) (float64, bool) { return 0, false }, CountOrder: func(bool, string) {},
 		PublishColdLoads: func(int) {}, PublishState: func(plank.EndpointID, *wire.EngineState) {},
-		PausedUntil: func(plank.Run) time.Time { return time.Time{} }, IsUnconfirmed: paused.Load, ReportFenced: func(plank.DomainID, plank.Term) {},
+		PausedUntil: func(plank.Run) time.Time { return time.Time{} }, IsUnconfirmed: isUnconfirmed, ReportFenced: func(plank.DomainID, plank.Term) {},
+		LearnsCost: func(s plank.ServiceID) bool { return s == "llm" },
 	})
+}
+
+// A process that had been paused granted calls and gave orders under a lease that had
+// ended meanwhile, until it looked at its leases again.
+func TestPausedSchedulerUsesNoLease(t *testing.T) {
+	engine := new(idleEngine)
+	var paused atomic.Bool
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newScheduler(ctx, engine, paused.Load)
 	inst := plank.Instance{ID: "e1", Service: "llm", Domain: "d", Born: time.UnixMilli(1)}
 	s.Sync([]grant.HeldEngine{{Instance: inst, Limits: grant.Limits{MaxRunning: 8, Memory: 1e6, MaxAdapters: 4, Base: "m"}, Term: 7}}, 1)
 	reserve := func(adapter plank.AdapterID, wait time.Duration) bool {
