--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -10,6 +10,7 @@
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
+	"knapweedplank.org/plank/internal/prefix"
 	"knapweedplank.org/plank/internal/view"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -23,6 +24,11 @@
 	Health *health.Table
 	Cold   *cold.Table // nil if no endpoint is ever cold
 	Clock  plank.Clock
+	// LearnsCost reports whether the estimates for a service's calls include what engines
+	// keep of prompts; nil for no service.
+	LearnsCost func(plank.ServiceID) bool
+	// Directories returns the directories of kept parts of the engines held by this VM.
+	Directories func() map[plank.Run]*prefix.Directory
 
 	mu      sync.Mutex
 	holders holderTable
@@ -141,6 +147,9 @@
 	if e.ColdWait > 0 {
 		fields["cold_wait_ms"] = e.ColdWait.Milliseconds()
 	}
+	if e.Kept > 0 {
+		fields["kept"] = e.Kept
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -150,8 +159,8 @@
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
 	v, now := c.View.Load(), c.Clock.Now()
 	newest := v.Versions[call.Adapter]
-	var engines []pick.Engine
-	var states []mesh.Engine
+	engines := make([]pick.Engine, 0, len(v.Endpoints(service)))
+	states := make([]mesh.Engine, 0, cap(engines))
 	var choice Choice
 	coldRate := c.Cold.Rate(service)
 	for _, inst := range v.Endpoints(service) {
@@ -176,6 +185,7 @@
 		engines = append(engines, e)
 		states = append(states, state)
 	}
+	c.setKept(service, engines, states, call)
 	i, expected := pick.BestEngine(engines, call, skip)
 	if i < 0 {
 		return choice, false
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -100,9 +100,10 @@
 // Version implements Reservation.
 func (l localReservation) Version() plank.VersionNumber { return l.Outcome.Version }
 
-// MarkFailed implements Reservation. The holder is this VM, whose health table already has
-// the failure.
+// MarkFailed implements Reservation. The holder is this VM, whose health table already has the
+// failure.
 func (l localReservation) MarkFailed(reached bool) {
+	l.Reservation.MarkFailed()
 	if !reached {
 		l.MarkUnreached()
 	}
@@ -172,7 +173,7 @@
 	req := &wire.ReserveRequest{
 		Request: string(r.ID), Adapter: r.Adapter.String(), Version: uint64(r.Version), Prompt: float64(r.Prompt), Output: float64(r.Output),
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
-		TargetMicros: r.Target.Sub(now).Microseconds(),
+		TargetMicros: r.Target.Sub(now).Microseconds(), Parts: wireParts(r.Parts), MaxOutput: float64(r.MaxOutput),
 	}
 	for _, id := range r.Skip {
 		req.Skip = append(req.Skip, string(id))
@@ -317,6 +318,7 @@
 		ID: plank.RequestID(req.Request), Adapter: plank.ParseAdapterRef(req.Adapter), Version: plank.VersionNumber(req.Version),
 		Prompt: plank.Tokens(req.Prompt), Output: plank.Tokens(req.Output), Priority: int(req.Priority),
 		Target: now.Add(time.Duration(req.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(req.WaitMicros) * time.Microsecond),
+		Parts: promptParts(req.Parts), MaxOutput: plank.Tokens(req.MaxOutput),
 	}
 	for _, id := range req.Skip {
 		r.Skip = append(r.Skip, plank.EndpointID(id))
@@ -336,10 +338,14 @@
 		return
 	}
 	defer res.Release()
-	b.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": req.Request, "endpoint": res.Instance.ID, "adapter": req.Adapter, "granted": res.Granted, "reason": res.Reason, "version": res.Outcome.Version,
 		"waited_ms": b.Clock.Now().Sub(received).Milliseconds(),
-	}).Info("grant: reservation request answered")
+	}
+	if res.Kept > 0 {
+		fields["kept"] = res.Kept
+	}
+	b.Log.WithFields(fields).Info("grant: reservation request answered")
 	replies.sendFinal(&wire.ReserveReply{Granted: res.Granted, Endpoint: string(res.Instance.ID), Version: uint64(res.Outcome.Version), Reason: res.Reason, RetryMicros: res.RetryAfter.Microseconds()})
 	if !res.Granted {
 		return
@@ -360,8 +366,10 @@
 	case n.Missing:
 		res.MarkAdapterMissing()
 	case n.Failed && n.Unreached:
+		res.MarkFailed()
 		b.Chooser.Health.RecordUnreachable(id)
 	case n.Failed:
+		res.MarkFailed()
 		b.Chooser.Health.RecordFailure(id)
 	}
 }
@@ -374,7 +382,7 @@
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), Hash: evac.CallHash(r.ID)}
+	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), Parts: r.Parts, Hash: evac.CallHash(r.ID)}
 	c, ok := b.Chooser.Choose(service, pool, call, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.StateKnown {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: noCapacityRetry.Microseconds()}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -40,6 +40,8 @@
 	parts   *poison.PartTable
 	// reserveErr, if not nil, is the error of each reservation.
 	reserveErr error
+	// learnsCost is set if the services learn costs.
+	learnsCost bool
 	// reserve returns the engine that is granted for the nth reservation, from 0.
 	reserve func(n int) plank.EndpointID
 	// send returns the answer of an endpoint.
@@ -47,6 +49,7 @@
 
 	mu           sync.Mutex
 	reservations int
+	request      grant.Request // the latest
 	sent         []plank.EndpointID
 }
 
@@ -97,7 +100,7 @@
 	}
 	h.reserve = func(int) plank.EndpointID { return "" }
 	h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
-	h.chooser = &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock}
+	h.chooser = &front.Chooser{Domain: "d", View: h.view, Mesh: m, Health: h.health, Clock: clock, LearnsCost: func(plank.ServiceID) bool { return h.learnsCost }}
 	h.Server = front.New(front.Deps{
 		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
 		Chooser: h.chooser, Budgets: front.NewBudgets(0.2, 10),
@@ -129,8 +132,9 @@
 func (grantedReservation) Release()                     {}
 
 // Reserve implements front.Reserver.
-func (h *harness) Reserve(_ context.Context, _ mesh.Engine, inst plank.Instance, _ grant.Request) (plank.Instance, front.Reservation, error) {
+func (h *harness) Reserve(_ context.Context, _ mesh.Engine, inst plank.Instance, r grant.Request) (plank.Instance, front.Reservation, error) {
 	h.mu.Lock()
+	h.request = r
 	n := h.reservations
 	h.reservations++
 	h.mu.Unlock()
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -26,7 +26,10 @@
 }
 
 // MarkStarted records the first event of a reservation.
-func (e *Engine) MarkStarted(res *TestReservation) { e.markStarted(res.res) }
+func (e *Engine) MarkStarted(res *TestReservation) { e.markStarted(res.res, time.Time{}) }
+
+// Begin records the first event of a reservation at a time.
+func (e *Engine) Begin(res *TestReservation, now time.Time) { e.markStarted(res.res, now) }
 
 // Release releases a reservation.
 func (e *Engine) Release(res *TestReservation, now time.Time) { e.release(res.res, now) }
@@ -58,6 +61,24 @@
 	return len(ms)
 }
 
+// BestEngine returns the engine with the lowest cost for a request.
+func BestEngine(engines []*Engine, r Request, now time.Time) *Engine {
+	res := &reservation{Request: r, engine: engines[0]}
+	engines[0].setPrompt(res)
+	return bestEngine(engines, res, now, (*Engine).isReady)
+}
+
+// MarkAdapterMissing records that the engine refused a call because its adapter is missing.
+func (e *Engine) MarkAdapterMissing(res *TestReservation, now time.Time) {
+	e.markAdapterMissing(res.res, now)
+}
+
+// MarkFailed records that the engine failed a call.
+func (e *Engine) MarkFailed(res *TestReservation) { e.markFailed(res.res) }
+
+// KeptParts returns the number of prompt parts that the engine is expected to keep.
+func (e *Engine) KeptParts() int { return e.parts.Len() }
+
 // Endpoint returns the engine at which the reservation is queued or runs.
 func (res *TestReservation) Endpoint() plank.EndpointID { return res.res.engine.inst.ID }
 
@@ -99,6 +120,7 @@
 
 // SetContended sets whether loads are ordered by their value.
 func (e *Engine) SetContended(on bool) { e.contended = on }
+
 // FailStatus processes a status that could not be read.
 func (e *Engine) FailStatus(now time.Time) {
 	e.handleStatus(plank.EngineStatus{}, errors.New("no answer"), now)
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -81,7 +81,11 @@
 	for _, e := range engines {
 		if e.inst.Service == res.engine.inst.Service && !slices.Contains(res.Skip, e.inst.ID) && allowed(e) {
 			found = append(found, e)
-			views = append(views, e.view(res.Adapter, now))
+			v := e.view(res.Adapter, now)
+			if !v.Stale {
+				v.Kept = e.estimate(res).Kept
+			}
+			views = append(views, v)
 		}
 	}
 	i, _ := pick.BestEngine(views, w, func(plank.EndpointID) bool { return false })
@@ -98,7 +102,7 @@
 		Instance: e.inst, StateKnown: e.statusKnown, NoBaseModel: e.hasNoBase(), RecentlyResident: e.recent.Has(ref),
 		TakenAdapterSlots: len(e.slots), IdleAdapterSlots: len(e.idleSlots(now)), AdapterSlots: e.limits.MaxAdapters, WaitingAdapters: e.wantedAdapters(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.MaxRunning, Backlog: e.pendingPrefill(),
-		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory, KVCapacity: e.limits.Memory, ColdWait: e.coldCost(now), FailRate: failRate, Avoid: e.unresponsive || avoid,
+		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory + e.overruns.reserve(), KVCapacity: e.limits.Memory, ColdWait: e.coldCost(now), FailRate: failRate, Avoid: e.unresponsive || avoid,
 	}
 	if slot := e.slots[ref]; slot != nil {
 		v.Resident, v.Loading = slot.state == resident, slot.state != resident
@@ -174,7 +178,7 @@
 // accepts reports whether a reservation queued elsewhere could proceed on this
 // engine at once or after the load of its adapter.
 func (e *Engine) accepts(res *reservation, now time.Time, mayLoadCold bool, c capacity) bool {
-	if !c.usable || !e.fits(res) || !e.mayGrant(now) {
+	if !c.usable || !e.fits(res, e.estimate(res)) || !e.mayGrant(now) {
 		return false
 	}
 	if slot := e.slots[res.Adapter]; slot != nil {
