--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -51,7 +51,7 @@
 func (c *Chooser) IsUnresponsive(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holders.isSilent(addr, c.Clock.Now())
+	return c.holders.silent[addr] != nil && c.holders.isSilent(addr, c.Clock.Now())
 }
 
 // MayAsk reports whether a request may be sent to the holder at addr now.
@@ -145,7 +145,7 @@
 // reports false if there is none outside skip.
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
 	v := c.View.Load()
-	newest := v.Versions[call.Adapter]
+	newest, name := v.Versions[call.Adapter], call.Adapter.String()
 	engines := make([]pick.Engine, 0, len(v.Endpoints(service)))
 	states := make([]mesh.Engine, 0, cap(engines))
 	var choice Choice
@@ -162,7 +162,7 @@
 		if state.State != nil && state.State.Born == inst.Born.UnixMilli() {
 			e.StateKnown = alive && !c.IsUnresponsive(state.Address)
 			applyState(&e, state.State, call.Adapter, newest)
-			e.RecentlyResident = c.Mesh.RecentlyResident(inst.ID, call.Adapter.String())
+			e.RecentlyResident = c.Mesh.RecentlyResident(inst.ID, name)
 		} else {
 			state = mesh.Engine{}
 		}
