Pace: engines are chosen by how long work takes there

The pace of each run of an engine is learned from what it states in its load field, from the time to the first event (at least as slow) and from decoding steps (at most as slow). It counts in the expected time, the cost, the backlog limit, the wait told to refused callers and the state that holders publish. Where no endpoint states a pace, and the settings do not say that the fleet is contended, all estimates are as before.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -8,6 +8,7 @@
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/view"
 	"knapweedplank.org/plank/internal/wire"
@@ -21,6 +22,7 @@
 	Mesh   *mesh.Mesh
 	Health *health.Table
 	Clock  plank.Clock
+	Paces  *pace.Table // nil if none are learned
 
 	mu      sync.Mutex
 	holders holderTable
@@ -88,7 +90,9 @@
 	Engine        pick.Engine
 	State         mesh.Engine
 	// Expected is the expected time to the first token.
-	Expected   time.Duration
+	Expected time.Duration
+	// Cost is the cost of the choice.
+	Cost       time.Duration
 	candidates int // number of engines considered
 	excluded   exclusions
 }
@@ -128,6 +132,9 @@
 		"endpoint": e.Instance.ID, "expected_ms": c.Expected.Milliseconds(), "resident": e.Resident, "loading": e.Loading,
 		"lately": e.RecentlyResident, "running": e.Running, "queued": e.Queued, "backlog": e.Backlog, "of": c.candidates,
 	}
+	if e.Pace > 0 {
+		fields["pace"], fields["cost_ms"] = e.Pace, c.Cost.Milliseconds()
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -157,6 +164,9 @@
 		} else {
 			state = mesh.Engine{}
 		}
+		if e.Pace == 0 || state.Address == "" {
+			e.Pace = c.Paces.Pace(service, inst.Run())
+		}
 		e.Avoid = e.Avoid || !e.StateKnown
 		engines = append(engines, e)
 		states = append(states, state)
@@ -166,12 +176,14 @@
 		return choice, false
 	}
 	choice.Engine, choice.State, choice.Expected, choice.candidates = engines[i], states[i], expected, len(engines)
+	choice.Cost, _ = pick.Cost(&engines[i], call)
 	return choice, true
 }
 
 // applyState copies the state that an engine's holder reports.
 func applyState(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
 	e.Running, e.Queued, e.PrefillRate = int(s.Running), int(s.Queued), s.Reading
+	e.Pace = s.Pace
 	e.Backlog, e.KVUsed = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
 	e.Avoid = e.Avoid || s.Silent
 	e.NoBaseModel, e.WaitingAdapters = s.Bare, int(s.Wanted)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -344,10 +344,14 @@
 	a.result = s.classify(ctx, j, &a)
 	switch {
 	case a.result == served && isStream:
+		res.ReportPace(PaceReport{Stated: a.reply.Pace})
 		a.result, a.err = s.relay(j, p, &a, func() {
 			stallTimer.Stop()
 			res.MarkStarted()
 		})
+		if s.deps.Chooser.Paces.IsLearned(j.service) {
+			res.ReportPace(PaceReport{Step: a.steps.step(j.pool.EventTokens)})
+		}
 		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case (a.result == served || a.result == failed) && p.begun:
 		a.result, a.err = broken, &resumeError{a.reply.Status}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -48,6 +48,7 @@
 	err    error
 	// firstEventAt is when the first event of the attempt's stream arrived; zero before.
 	firstEventAt time.Time
+	steps        stepMeter
 	// begun is set once the stream has gone on for beginTime, or the answer has ended
 	// whole: the prompt does not crash an endpoint that begins to answer it.
 	begun bool
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -11,6 +11,7 @@
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/wire"
@@ -27,6 +28,9 @@
 	// MarkFailed records that the engine failed the call or, if reached is false,
 	// that it could not be reached.
 	MarkFailed(reached bool)
+	// ReportPace records what the answer shows of the engine's pace. It is called before
+	// MarkStarted and once the stream has ended.
+	ReportPace(r PaceReport)
 	// Release ends the reservation. It must be called once the call has ended.
 	Release()
 }
@@ -58,6 +62,7 @@
 	// ended.
 	LastPause func() (length, ago time.Duration)
 	Chooser   *Chooser
+	Paces     *pace.Table // nil if none are learned
 	Transport *peer.Transport
 	Clock     plank.Clock
 	Log       *logrus.Entry
@@ -80,7 +85,7 @@
 	case !res.Granted:
 		return inst, nil, noCapacity(res.Reason, res.RetryAfter)
 	}
-	return res.Instance, localReservation{res}, nil
+	return res.Instance, localReservation{res, b.Paces}, nil
 }
 
 // noCapacity returns a refusal for lack of capacity. retry is the time after which
@@ -94,6 +99,7 @@
 // A localReservation is a reservation on an engine whose lease this VM holds.
 type localReservation struct {
 	*grant.Reservation
+	paces *pace.Table
 }
 
 // Version implements Reservation.
@@ -246,13 +252,18 @@
 	cancel  context.CancelFunc
 	version plank.VersionNumber
 	log     *logrus.Entry
+	stated  float64 // pace that the engine stated; 0 for none
 }
 
 // Version implements Reservation.
 func (r *remoteReservation) Version() plank.VersionNumber { return r.version }
 
 // MarkStarted implements Reservation.
-func (r *remoteReservation) MarkStarted() { r.sendNote(&wire.ReserveNote{Began: true}) }
+func (r *remoteReservation) MarkStarted() {
+	n := PaceReport{Stated: r.stated}.note()
+	n.Began = true
+	r.sendNote(n)
+}
 
 // MarkAdapterMissing implements Reservation.
 func (r *remoteReservation) MarkAdapterMissing() { r.sendNote(&wire.ReserveNote{Missing: true}) }
@@ -347,6 +358,7 @@
 // handleNote processes a peer's note on its reserved call. In a large fleet each VM
 // has few calls on each engine, so the holder collects failures from all VMs.
 func (b *Broker) handleNote(res *grant.Reservation, n *wire.ReserveNote) {
+	b.recordNotedPace(res, n)
 	switch id := res.Instance.ID; {
 	case n.Began:
 		res.MarkStarted()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -120,6 +120,7 @@
 
 func (grantedReservation) Version() plank.VersionNumber { return 1 }
 func (grantedReservation) MarkStarted()                 {}
+func (grantedReservation) ReportPace(front.PaceReport)  {}
 func (grantedReservation) MarkAdapterMissing()          {}
 func (grantedReservation) MarkFailed(bool)              {}
 func (grantedReservation) Release()                     {}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -52,6 +52,9 @@
 		ev, err := events.Next()
 		now := s.deps.Clock.Now()
 		first := a.firstEventAt.IsZero()
+		if err == nil {
+			a.steps.record(now)
+		}
 		if err == io.EOF && first && a.reply.Unframed {
 			err = errNoEvent
 		}
--- a/internal/front/unmanaged.go
+++ b/internal/front/unmanaged.go
@@ -23,6 +23,9 @@
 // MarkFailed implements Reservation.
 func (unmanagedReservation) MarkFailed(bool) {}
 
+// ReportPace implements Reservation.
+func (unmanagedReservation) ReportPace(PaceReport) {}
+
 // Release implements Reservation.
 func (unmanagedReservation) Release() {}
 
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/recent"
 	"knapweedplank.org/plank/internal/wire"
 )
@@ -70,8 +71,9 @@
 	versionGrace = 2 * time.Second
 	// prefillHalfLife is the half-life of the decayed count of prompt tokens.
 	prefillHalfLife = time.Second
-	// maxBacklog is the maximum backlog of an engine in prompt tokens, about a second
-	// of prefill; further calls wait in the queue, where they are ordered by priority.
+	// maxBacklog is the maximum backlog of an engine of the usual pace in prompt tokens,
+	// about a second of prefill; further calls wait in the queue, where they are ordered by
+	// priority.
 	maxBacklog = 38_000
 	// useHalfLife is the half-life of the decayed count of an adapter's uses.
 	useHalfLife = 10 * time.Second
@@ -117,6 +119,10 @@
 	granted bool
 	started bool
 	settle  func(Outcome)
+	// grantedAt is when the reservation was granted, and ahead counts the prompt tokens to
+	// be processed then, with its own.
+	grantedAt time.Time
+	ahead     plank.Tokens
 }
 
 type slotState int
@@ -171,6 +177,9 @@
 	// VM, or the zero time.
 	pausedUntil func(plank.Run) time.Time
 
+	paces         *pace.Table // may be nil
+	publishedPace float64     // in the state that was published last
+
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
 	bases  map[plank.BaseID]bool
@@ -213,7 +222,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, paces: deps.Paces, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int),
 	}
@@ -329,7 +338,7 @@
 	if len(e.running) == 0 {
 		return true
 	}
-	if e.backlog > 0 && e.backlog+res.Prompt > maxBacklog {
+	if e.exceedsBacklog(res) {
 		return false
 	}
 	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory() <= e.limits.Memory
@@ -362,6 +371,7 @@
 	e.running[res] = true
 	e.usedMemory += res.memory()
 	e.backlog += res.Prompt
+	res.grantedAt, res.ahead = now, e.backlog
 	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.Prompt), now
 	out := Outcome{Granted: true}
 	e.users[res.Adapter]++
@@ -441,6 +451,7 @@
 		}
 		return 1
 	})
+	e.addPace(s)
 	return s
 }
 
--- a/internal/grant/engine_test.go
+++ b/internal/grant/engine_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/grant"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/place"
 	"pgregory.net/rapid"
 )
@@ -49,6 +50,7 @@
 	fate    func() (lost, late bool)
 	delayed []plank.Order // orders to be carried out late
 	trace   []string      // of orders and status reads
+	paces   *pace.Table
 	// onUnload is called for each unload that is carried out.
 	onUnload func(plank.AdapterRef)
 }
@@ -77,6 +79,7 @@
 		NewestVersion:  func(r plank.AdapterRef) plank.VersionNumber { return h.newest[r] },
 		SupersededAt:   func(plank.AdapterRef, plank.VersionNumber) time.Time { return h.supersededAt },
 		Health:         func(plank.EndpointID) (float64, bool) { return 0, h.avoid },
+		Paces:          h.paces,
 		PausedUntil:    func(plank.Run) time.Time { return h.pausedUntil },
 		InUseElsewhere: func(_ plank.EndpointID, r plank.AdapterRef) bool { return h.inUse[r] },
 		RecentAdapters: func(plank.Instance) []plank.AdapterRef { return h.recent },
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -27,6 +27,12 @@
 // MarkStarted records the first event of a reservation.
 func (e *Engine) MarkStarted(res *TestReservation) { e.markStarted(res.res) }
 
+// MarkStartedAt records the first event of a reservation that arrived at now.
+func (e *Engine) MarkStartedAt(res *TestReservation, now time.Time) {
+	e.recordFirstEvent(res.res, now)
+	e.markStarted(res.res)
+}
+
 // Release releases a reservation.
 func (e *Engine) Release(res *TestReservation, now time.Time) { e.release(res.res, now) }
 
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -99,6 +99,7 @@
 		TakenAdapterSlots: len(e.slots), IdleAdapterSlots: len(e.idleSlots(now)), AdapterSlots: e.limits.MaxAdapters, WaitingAdapters: e.wantedAdapters(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.MaxRunning, Backlog: e.pendingPrefill(),
 		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory, KVCapacity: e.limits.Memory, FailRate: failRate, Avoid: e.unresponsive || avoid,
+		Pace: e.pace(),
 	}
 	if slot := e.slots[ref]; slot != nil {
 		v.Resident, v.Loading = slot.state == resident, slot.state != resident
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/wire"
 )
 
@@ -54,6 +55,8 @@
 	// PausedUntil returns the time until which a run of an engine wants no requests of this
 	// VM, or the zero time. Meanwhile it gets no orders.
 	PausedUntil func(plank.Run) time.Time
+	// Paces holds the learned paces of engines; nil if none are learned.
+	Paces *pace.Table
 	// CountOrder is called with the result of each order.
 	CountOrder func(unload bool, result string)
 	// PublishColdLoads publishes to other VMs how many cold loads this VM has in
@@ -84,6 +87,7 @@
 	cold          coldLimiter
 	nextLogAt     time.Time // of the next log line on waiting calls
 	changed       map[plank.EndpointID]bool
+	nextPacesAt   time.Time // of the next check of the published paces
 }
 
 // A NotHeldError reports that this VM is not the lease holder for the engine.
@@ -162,6 +166,7 @@
 			wait = min(wait, max(time.Millisecond, e.nextDue(now).Sub(now)))
 		}
 	}
+	s.publishPaces(now)
 	for id := range s.changed {
 		if e := s.engines[id]; e != nil {
 			s.deps.PublishState(id, e.wireState(now))
@@ -418,6 +423,7 @@
 // MarkStarted records that the first event of the call has arrived.
 func (res *Reservation) MarkStarted() {
 	res.scheduler.post(func() {
+		res.state.engine.recordFirstEvent(res.state, res.scheduler.deps.Clock.Now())
 		res.state.engine.markStarted(res.state)
 		res.scheduler.changed[res.state.engine.inst.ID] = true
 	})
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -35,7 +35,7 @@
 	slot := e.slots[res.Adapter]
 	switch {
 	case res.Adapter.Name == "" || slot != nil && slot.state == resident && !e.isStale(slot, now, res.Version):
-		if e.backlog > 0 && e.backlog+res.Prompt > maxBacklog {
+		if e.exceedsBacklog(res) {
 			return causePrefill
 		}
 		return causeCapacity
@@ -57,7 +57,8 @@
 	v := e.view(res.Adapter, now)
 	v.Queued-- // the reservation itself
 	v.Backlog -= res.Prompt
-	return pick.TimeToFirstToken(&v, pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output}) - pick.PrefillTime(res.Prompt)
+	call := pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output}
+	return pick.TimeToFirstToken(&v, call) - v.PrefillTime(call)
 }
 
 // logWaiting logs what queued calls wait for, if there are any.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"knapweedplank.org/plank/internal/idle"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/place"
@@ -80,6 +81,7 @@
 	poison       *poison.Table
 	parts        *poison.PartTable
 	broker       *front.Broker
+	paces        *pace.Table
 	chooser      *front.Chooser
 	health       *health.Table
 	duties       *dutyLoop
@@ -108,6 +110,7 @@
 		log: log.WithField("vm", settings.VM), registry: metrics.NewRegistry(),
 	}
 	n.calls, n.endCalls = context.WithCancel(context.Background())
+	n.paces = pace.New(n.clock, settings.Contended)
 	n.buildState()
 	n.buildClients()
 	n.buildMesh(ctx, settings.ControlAddr)
@@ -203,6 +206,7 @@
 		n.log.WithField("endpoint", key.Endpoint).WithError(err).Warn("node: ignored a field of an answer")
 	}
 	run := plank.Run{Endpoint: key.Endpoint, Born: key.Born}
+	n.recordStatedPace(run, platform.DecodePace(h))
 	if notice.Leaving {
 		n.state.markLeaving(run, "the endpoint")
 	}
@@ -239,6 +243,7 @@
 		NewestVersion: n.newestVersion, SupersededAt: n.releaseTimes.supersededAt, RemoteColdLoads: n.remoteColdLoads, PublishColdLoads: n.state.setColdLoads, CountOrder: n.countOrder,
 		Health:         func(id plank.EndpointID) (float64, bool) { return n.health.FailRate(id), n.health.IsAvoided(id) },
 		PausedUntil:    n.health.PausedUntil,
+		Paces:          n.paces,
 		InUseElsewhere: func(id plank.EndpointID, ref plank.AdapterRef) bool { return n.mesh.InUse(id, ref.String()) },
 		RecentAdapters: func(inst plank.Instance) []plank.AdapterRef {
 			var refs []plank.AdapterRef
@@ -259,8 +264,8 @@
 			}
 		},
 	})
-	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock}
-	n.broker = &front.Broker{Local: n.scheduler, LastPause: func() (length, ago time.Duration) { return n.delay.LastPause(n.clock.Now()) }, Chooser: n.chooser, Transport: n.transport, Clock: n.clock, Log: n.log}
+	n.chooser = &front.Chooser{Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Health: n.health, Clock: n.clock, Paces: n.paces}
+	n.broker = &front.Broker{Local: n.scheduler, LastPause: func() (length, ago time.Duration) { return n.delay.LastPause(n.clock.Now()) }, Chooser: n.chooser, Paces: n.paces, Transport: n.transport, Clock: n.clock, Log: n.log}
 }
 
 // countOrder counts the result of an order.
@@ -397,6 +402,7 @@
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
 			n.health.ExpirePauses()
+			n.paces.Expire()
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
 		}
 	}()
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -60,6 +60,8 @@
 	// without and with a chunk of a prompt.
 	decodeStepMs  = 5.0
 	prefillStepMs = 54.0
+	// DecodeStep is the usual time of a decoding step without a chunk of a prompt.
+	DecodeStep = time.Duration(decodeStepMs * float64(time.Millisecond))
 	// decodeWeight is the weight of the decoding time, interferenceWeight that of
 	// the time by which the prompt delays each running call, of which
 	// maxInterference count at most. Together they keep long prompts and long
@@ -100,7 +102,8 @@
 	FailRate               float64      // fraction of recent calls that failed
 	// Kept is how many tokens of the call's prompt the engine keeps from earlier calls.
 	Kept plank.Tokens
-	// Pace is how long work takes on the engine, relative to the usual time; 0 if not known.
+	// Pace is how long work takes on the engine, relative to the usual time; 0 if it is not
+	// learned.
 	Pace float64
 	// Avoid is set for an engine to be chosen only if there is no other.
 	Avoid  bool
@@ -123,8 +126,7 @@
 // TimeToFirstToken returns the expected time to the first token on an engine.
 func TimeToFirstToken(e *Engine, c Call) time.Duration {
 	d := e.prefillTime(e.Backlog + e.unread(c))
-	d += time.Duration(e.Running) * runningCallCost
-	d += time.Duration(e.Queued) * queuedCallCost
+	d += e.atPace(time.Duration(e.Running)*runningCallCost + time.Duration(e.Queued)*queuedCallCost)
 	d += time.Duration(e.FailRate * float64(failCost))
 	if e.Remote {
 		d += crossDomainTime
@@ -145,10 +147,15 @@
 func (e *Engine) unread(c Call) plank.Tokens { return max(0, c.Prompt-e.Kept) }
 
 // prefillTime returns how long the engine takes to process n prompt tokens.
-func (e *Engine) prefillTime(n plank.Tokens) time.Duration {
-	d := prefillDuration(n)
+func (e *Engine) prefillTime(n plank.Tokens) time.Duration { return e.atPace(prefillDuration(n)) }
+
+// PrefillTime returns how long the engine takes to process the call's prompt if it is idle.
+func (e *Engine) PrefillTime(c Call) time.Duration { return e.prefillTime(e.unread(c)) }
+
+// atPace returns the time of work on the engine that usually takes d.
+func (e *Engine) atPace(d time.Duration) time.Duration {
 	if e.Pace > 0 {
-		d = time.Duration(e.Pace * float64(d))
+		return time.Duration(e.Pace * float64(d))
 	}
 	return d
 }
@@ -218,9 +225,18 @@
 // decodeTime returns the expected decoding time of the call: a step that also
 // processes a chunk of a prompt takes many times as long as one that does not.
 func decodeTime(e *Engine, c Call) time.Duration {
-	busy := min(1, e.PrefillRate/(1000*prefillTokensPerMs))
+	busy := e.prefillBusy()
 	perMs := busy/prefillStepMs + (1-busy)/decodeStepMs
-	return time.Duration(float64(c.Output) / perMs * float64(time.Millisecond))
+	return e.atPace(time.Duration(float64(c.Output) / perMs * float64(time.Millisecond)))
+}
+
+// prefillBusy returns the fraction of the engine's time in which it processes prompts.
+func (e *Engine) prefillBusy() float64 {
+	busy := e.PrefillRate / (1000 * prefillTokensPerMs)
+	if e.Pace > 0 {
+		busy *= e.Pace
+	}
+	return min(1, busy)
 }
 
 // rank returns the rendezvous hash of an engine for a name, from 0 to 1.
