Pace: long prompts keep away from streams that they would make late

An event of a stream takes several steps, and beside a long prompt each of them as long as a chunk. The cost of an engine for a prompt counts the streams there that its event time would make late, unless other prompts are likely to do so anyway; that for an output counts the prompts that are likely to be read during it. Both only where the paces of the service are learned.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -144,6 +144,7 @@
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
 	v := c.View.Load()
 	newest := v.Versions[call.Adapter]
+	gap := strictestGap(v.Manifest, service)
 	var engines []pick.Engine
 	var states []mesh.Engine
 	var choice Choice
@@ -167,6 +168,7 @@
 		if e.Pace == 0 || state.Address == "" {
 			e.Pace = c.Paces.Pace(service, inst.Run())
 		}
+		e.EventTokens, e.StrictGap = pool.EventTokens, gap
 		e.Avoid = e.Avoid || !e.StateKnown
 		engines = append(engines, e)
 		states = append(states, state)
@@ -183,7 +185,7 @@
 // applyState copies the state that an engine's holder reports.
 func applyState(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
 	e.Running, e.Queued, e.PrefillRate = int(s.Running), int(s.Queued), s.Reading
-	e.Pace = s.Pace
+	e.Pace, e.StrictGaps = s.Pace, s.StrictGaps
 	e.Backlog, e.KVUsed = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
 	e.Avoid = e.Avoid || s.Silent
 	e.NoBaseModel, e.WaitingAdapters = s.Bare, int(s.Wanted)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -163,12 +163,15 @@
 	call := j.pickCall()
 	now := s.deps.Clock.Now()
 	call.Target = j.target.Sub(now)
+	if s.deps.Chooser.Paces.IsLearned(j.service) {
+		call.MaxGap = j.route.MaxGap
+	}
 	until := s.reservationDeadline(j, now)
 	if !until.After(now) {
 		return plank.Instance{}, nil, noCapacity("no room in time", 0)
 	}
 	r := grant.Request{
-		ID: j.call.ID, Adapter: call.Adapter, Version: j.view.Versions[call.Adapter], Prompt: call.Prompt, Output: call.Output,
+		ID: j.call.ID, Adapter: call.Adapter, Version: j.view.Versions[call.Adapter], Prompt: call.Prompt, Output: call.Output, MaxGap: call.MaxGap,
 		Priority: j.priority, Target: j.target, Deadline: until, Skip: s.excluded(j, skip),
 	}
 	choice, ok := s.deps.Chooser.Choose(j.service, j.pool, call, func(id plank.EndpointID) bool { return skip[id] })
--- a/internal/front/pace.go
+++ b/internal/front/pace.go
@@ -93,3 +93,25 @@
 	}
 	return time.Duration(float64(m.shortest[shortPauses-1]) / float64(eventTokens))
 }
+
+// strictestGap returns the shortest of the longest pauses that routes of a service allow; 0 if
+// none has one. The streams of a route with a longer one then count as if they had it, too,
+// where this VM does not hold the engine.
+func strictestGap(m *plank.Manifest, service plank.ServiceID) time.Duration {
+	var gap time.Duration
+	if m == nil {
+		return 0
+	}
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		if r.MaxGap <= 0 || gap > 0 && r.MaxGap >= gap {
+			continue
+		}
+		for _, share := range r.Split {
+			if share.Service == service {
+				gap = r.MaxGap
+			}
+		}
+	}
+	return gap
+}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -175,6 +175,7 @@
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
 		TargetMicros: r.Target.Sub(now).Microseconds(),
 	}
+	req.GapMicros = r.MaxGap.Microseconds()
 	for _, id := range r.Skip {
 		req.Skip = append(req.Skip, string(id))
 	}
@@ -324,6 +325,7 @@
 		Prompt: plank.Tokens(req.Prompt), Output: plank.Tokens(req.Output), Priority: int(req.Priority),
 		Target: now.Add(time.Duration(req.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(req.WaitMicros) * time.Microsecond),
 	}
+	r.MaxGap = time.Duration(max(0, req.GapMicros)) * time.Microsecond
 	for _, id := range req.Skip {
 		r.Skip = append(r.Skip, plank.EndpointID(id))
 	}
@@ -380,7 +382,7 @@
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now())}
+	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, MaxGap: r.MaxGap, Target: r.Target.Sub(b.Clock.Now())}
 	c, ok := b.Chooser.Choose(service, pool, call, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.StateKnown {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: noCapacityRetry.Microseconds()}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -84,6 +84,7 @@
 	MaxRunning  int          // calls in the batch
 	Memory      plank.Tokens // capacity of the KV cache
 	MaxAdapters int          // adapter slots
+	EventTokens plank.Tokens // in an event of a stream; 0 if not known
 	Base        plank.BaseID // loaded if the engine holds no base model; may be empty
 }
 
@@ -92,10 +93,12 @@
 	ID      plank.RequestID
 	Adapter plank.AdapterRef
 	// Version is the minimum adapter version; 0 means any.
-	Version  plank.VersionNumber
-	Prompt   plank.Tokens
-	Output   plank.Tokens // expected number
-	Priority int          // lower values go first
+	Version plank.VersionNumber
+	Prompt  plank.Tokens
+	Output  plank.Tokens // expected number
+	// MaxGap is the longest pause between events that is not late; 0 for no limit.
+	MaxGap   time.Duration
+	Priority int // lower values go first
 	// Target is the time by which the first token is due.
 	Target time.Time
 	// Deadline is when the request is refused if it has not been granted.
@@ -123,6 +126,8 @@
 	// be processed then, with its own.
 	grantedAt time.Time
 	ahead     plank.Tokens
+	// strict is set while the reservation counts in the engine's strict streams.
+	strict bool
 }
 
 type slotState int
@@ -179,6 +184,7 @@
 
 	paces         *pace.Table // may be nil
 	publishedPace float64     // in the state that was published last
+	strict        strictStreams
 
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
@@ -269,6 +275,7 @@
 		return
 	}
 	e.markStarted(res)
+	e.strict.remove(res)
 	delete(e.running, res)
 	e.usedMemory -= res.memory()
 	if e.users[res.Adapter]--; e.users[res.Adapter] <= 0 {
@@ -372,6 +379,7 @@
 	e.usedMemory += res.memory()
 	e.backlog += res.Prompt
 	res.grantedAt, res.ahead = now, e.backlog
+	e.countStrict(res)
 	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.Prompt), now
 	out := Outcome{Granted: true}
 	e.users[res.Adapter]++
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -75,7 +75,7 @@
 // bestEngine returns the allowed engine with the lowest cost for a reservation, or
 // nil if there is none.
 func bestEngine(engines []*Engine, res *reservation, now time.Time, allowed func(*Engine) bool) *Engine {
-	w := pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output, Target: res.Target.Sub(now)}
+	w := pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output, MaxGap: res.MaxGap, Target: res.Target.Sub(now)}
 	var found []*Engine
 	var views []pick.Engine
 	for _, e := range engines {
@@ -99,7 +99,7 @@
 		TakenAdapterSlots: len(e.slots), IdleAdapterSlots: len(e.idleSlots(now)), AdapterSlots: e.limits.MaxAdapters, WaitingAdapters: e.wantedAdapters(),
 		Running: len(e.running), Queued: len(e.queue), Slots: e.limits.MaxRunning, Backlog: e.pendingPrefill(),
 		PrefillRate: e.prefillRate(now), KVUsed: e.usedMemory, KVCapacity: e.limits.Memory, FailRate: failRate, Avoid: e.unresponsive || avoid,
-		Pace: e.pace(),
+		Pace: e.pace(), EventTokens: e.limits.EventTokens, StrictGaps: float64(e.strict.count), StrictGap: e.strict.meanGap(),
 	}
 	if slot := e.slots[ref]; slot != nil {
 		v.Resident, v.Loading = slot.state == resident, slot.state != resident
--- a/internal/grant/pace.go
+++ b/internal/grant/pace.go
@@ -48,9 +48,60 @@
 	}
 }
 
-// addPace adds the pace to the state that is published.
+// strictStreams counts the granted reservations with a longest pause of which no event is
+// expected to be late yet.
+type strictStreams struct {
+	count   int
+	sumGaps time.Duration
+}
+
+// add counts a reservation.
+func (s *strictStreams) add(res *reservation) {
+	res.strict = true
+	s.count++
+	s.sumGaps += res.MaxGap
+}
+
+// remove ends the counting of a reservation, if it is counted.
+func (s *strictStreams) remove(res *reservation) {
+	if res.strict {
+		res.strict = false
+		s.count--
+		s.sumGaps -= res.MaxGap
+	}
+}
+
+// meanGap returns the mean of the longest pauses; 0 if there are no streams.
+func (s *strictStreams) meanGap() time.Duration { return s.sumGaps / time.Duration(max(1, s.count)) }
+
+// countStrict updates the strict streams with a reservation that is granted. Those that its
+// prompt makes late no longer count: a further prompt does them no more harm.
+func (e *Engine) countStrict(res *reservation) {
+	if e.limits.EventTokens <= 0 {
+		return
+	}
+	if e.strict.count > 0 {
+		if p := e.pace(); p > 0 {
+			v := pick.Engine{Pace: p, EventTokens: e.limits.EventTokens}
+			took := v.EventTime(res.Prompt)
+			for o := range e.running {
+				if o.strict && took > o.MaxGap {
+					e.strict.remove(o)
+				}
+			}
+		}
+	}
+	if res.MaxGap > 0 && res.Output > e.limits.EventTokens {
+		e.strict.add(res)
+	}
+}
+
+// addPace adds the pace to the state that is published, and the streams for which it counts.
 func (e *Engine) addPace(s *wire.EngineState) {
 	s.Pace = math.Round(100*e.pace()) / 100
+	if s.Pace > 0 {
+		s.StrictGaps = float64(e.strict.count)
+	}
 	e.publishedPace = s.Pace
 }
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -258,7 +258,7 @@
 
 // limits returns the limits of a pool's engines.
 func limits(p *plank.EnginePool) grant.Limits {
-	l := grant.Limits{MaxRunning: p.Slots, Memory: p.KVCapacity, MaxAdapters: p.MaxAdapters}
+	l := grant.Limits{MaxRunning: p.Slots, Memory: p.KVCapacity, MaxAdapters: p.MaxAdapters, EventTokens: p.EventTokens}
 	if len(p.Bases) == 1 {
 		l.Base = p.Bases[0].ID
 	}
--- a/internal/pick/bench_test.go
+++ b/internal/pick/bench_test.go
@@ -35,4 +35,6 @@
 }
 
 // benchLearned sets what else is known of an engine whose pace is learned.
-func benchLearned(e *pick.Engine, i int) {}
+func benchLearned(e *pick.Engine, i int) {
+	e.EventTokens, e.StrictGaps, e.StrictGap = 5, float64(i%6), 300*time.Millisecond
+}
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -105,6 +105,12 @@
 	// Pace is how long work takes on the engine, relative to the usual time; 0 if it is not
 	// learned.
 	Pace float64
+	// EventTokens is the number of tokens in an event of a stream; 0 if not known.
+	EventTokens plank.Tokens
+	// StrictGaps counts the streams on the engine with a longest pause whose events are not
+	// late yet, and StrictGap is that pause; 0 if not known.
+	StrictGaps float64
+	StrictGap  time.Duration
 	// Avoid is set for an engine to be chosen only if there is no other.
 	Avoid  bool
 	Remote bool // in another failure domain
@@ -204,6 +210,7 @@
 	}
 	cost += time.Duration(interferenceWeight * float64(min(e.Running, maxInterference)) * float64(e.prefillTime(e.unread(c))))
 	cost += time.Duration(decodeWeight * float64(decodeTime(e, c)))
+	cost += e.gapCost(c)
 	if c.Adapter.Name != "" && e.loadsFromStore() {
 		cost += storeLoadCost
 	}
--- a/internal/pick/pace_test.go
+++ b/internal/pick/pace_test.go
@@ -68,3 +68,60 @@
 	assert.Assert(t, pick.TimeToFirstToken(&e, longPrompt) > usual*19/10)
 	assert.Assert(t, usual > 700*time.Millisecond && usual < 800*time.Millisecond, "%v", usual)
 }
+
+// Guards against other choices where no pace is learned, and where an engine has no streams
+// with a longest pause.
+func TestCostIsUnchangedWithoutStrictStreams(t *testing.T) {
+	plain := engine("e", func(e *pick.Engine) { e.Resident, e.Running, e.PrefillRate, e.Backlog = true, 6, 9000, 12_000 })
+	stream := shortPrompt
+	strict := shortPrompt
+	strict.MaxGap = 300 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		change func(*pick.Engine)
+		a, b   pick.Call
+	}{
+		{"no pace", func(e *pick.Engine) { e.EventTokens, e.StrictGaps, e.StrictGap = 5, 9, 300*time.Millisecond }, stream, strict},
+		{"no streams", func(e *pick.Engine) { e.EventTokens, e.Pace = 5, 1 }, longPrompt, longPrompt},
+		{"no prompts", func(e *pick.Engine) { e.EventTokens, e.Pace, e.PrefillRate, e.Backlog = 5, 1, 0, 0 }, stream, strict},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			changed := plain
+			test.change(&changed)
+			same := plain
+			same.PrefillRate, same.Backlog = changed.PrefillRate, changed.Backlog
+			want, _ := pick.Cost(&same, test.a)
+			got, _ := pick.Cost(&changed, test.b)
+			assert.Equal(t, got, want)
+		})
+	}
+}
+
+// The cost of a long prompt beside streams grows with their number and with the time of an
+// event, from two thirds of the longest pause on.
+func TestCostOfLongPromptsBesideStreams(t *testing.T) {
+	cost := func(streams, p float64) time.Duration {
+		e := engine("e", func(e *pick.Engine) {
+			e.Resident, e.Pace, e.EventTokens, e.StrictGaps, e.StrictGap = true, p, 5, streams, 300*time.Millisecond
+		})
+		with, _ := pick.Cost(&e, longPrompt)
+		e.StrictGaps = 0
+		without, _ := pick.Cost(&e, longPrompt)
+		return with - without
+	}
+	assert.Equal(t, cost(4, 0.7), time.Duration(0))
+	assert.Assert(t, cost(4, 1) > 0)
+	assert.Assert(t, cost(4, 1.2) > cost(4, 1))
+	assert.Equal(t, cost(8, 1.2).Round(time.Microsecond), (2 * cost(4, 1.2)).Round(time.Microsecond))
+}
+
+// Guards against an adapter's long output on an engine that reads long prompts one after the
+// other, while another engine holds the adapter and reads none.
+func TestLongOutputAvoidsEnginesThatReadPrompts(t *testing.T) {
+	reading := engine("a", func(e *pick.Engine) { e.Resident, e.Pace, e.EventTokens, e.PrefillRate = true, 1.8, 5, 6000 })
+	idle := engine("b", func(e *pick.Engine) { e.Resident, e.Pace, e.EventTokens, e.Running = true, 1.8, 5, 12 })
+	call := shortPrompt
+	call.MaxGap = 300 * time.Millisecond
+	i, _ := pick.BestEngine([]pick.Engine{reading, idle}, call, none)
+	assert.Equal(t, i, 1)
+}
