--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -9,6 +9,7 @@
 	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/prefix"
 	"knapweedplank.org/plank/internal/view"
@@ -29,6 +30,7 @@
 	LearnsCost func(plank.ServiceID) bool
 	// Directories returns the directories of kept parts of the engines held by this VM.
 	Directories func() map[plank.Run]*prefix.Directory
+	Paces       *pace.Table // nil if none are learned
 
 	mu      sync.Mutex
 	holders holderTable
@@ -98,7 +100,9 @@
 	Engine        pick.Engine
 	State         mesh.Engine
 	// Expected is the expected time to the first token.
-	Expected   time.Duration
+	Expected time.Duration
+	// Cost is the cost of the choice.
+	Cost       time.Duration
 	candidates int // number of engines considered
 	excluded   exclusions
 }
@@ -150,6 +154,9 @@
 	if e.Kept > 0 {
 		fields["kept"] = e.Kept
 	}
+	if e.Pace > 0 {
+		fields["pace"], fields["cost_ms"] = e.Pace, c.Cost.Milliseconds()
+	}
 	c.excluded.logTo(fields)
 	return fields
 }
@@ -159,6 +166,7 @@
 func (c *Chooser) Choose(service plank.ServiceID, pool *plank.EnginePool, call pick.Call, skip func(plank.EndpointID) bool) (Choice, bool) {
 	v, now := c.View.Load(), c.Clock.Now()
 	newest, name := v.Versions[call.Adapter], call.Adapter.String()
+	gap := strictestGap(v.Manifest, service)
 	engines := make([]pick.Engine, 0, len(v.Endpoints(service)))
 	states := make([]mesh.Engine, 0, cap(engines))
 	var choice Choice
@@ -181,6 +189,10 @@
 			state = mesh.Engine{}
 		}
 		e.ColdWait = c.coldWait(inst, state, coldRate)
+		if e.Pace == 0 || state.Address == "" {
+			e.Pace = c.Paces.Pace(service, inst.Run())
+		}
+		e.EventTokens, e.StrictGap = pool.EventTokens, gap
 		e.Avoid = e.Avoid || !e.StateKnown || v.HoldsBack(inst, call.Hash, now)
 		engines = append(engines, e)
 		states = append(states, state)
@@ -191,12 +203,14 @@
 		return choice, false
 	}
 	choice.Engine, choice.State, choice.Expected, choice.candidates = engines[i], states[i], expected, len(engines)
+	choice.Cost, _ = pick.Cost(&engines[i], call)
 	return choice, true
 }
 
 // applyState copies the state that an engine's holder reports.
 func applyState(e *pick.Engine, s *wire.EngineState, ref plank.AdapterRef, newest plank.VersionNumber) {
 	e.Running, e.Queued, e.PrefillRate = int(s.Running), int(s.Queued), s.Reading
+	e.Pace, e.StrictGaps = s.Pace, s.StrictGaps
 	e.Backlog, e.KVUsed = plank.Tokens(s.Backlog), plank.Tokens(s.Used)
 	e.Avoid = e.Avoid || s.Silent
 	e.NoBaseModel, e.WaitingAdapters = s.Bare, int(s.Wanted)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -166,12 +166,15 @@
 	call := j.pickCall()
 	now := s.deps.Clock.Now()
 	call.Target = j.target.Sub(now)
+	if s.deps.Chooser.Paces.IsLearned(j.service) {
+		call.MaxGap = j.route.MaxGap
+	}
 	until := s.reservationDeadline(j, now)
 	if !until.After(now) {
 		return plank.Instance{}, nil, noCapacity("no room in time", 0)
 	}
 	r := grant.Request{
-		ID: j.call.ID, Adapter: call.Adapter, Version: j.view.Versions[call.Adapter], Prompt: call.Prompt, Output: call.Output,
+		ID: j.call.ID, Adapter: call.Adapter, Version: j.view.Versions[call.Adapter], Prompt: call.Prompt, Output: call.Output, MaxGap: call.MaxGap,
 		Priority: j.priority, Target: j.target, Deadline: until, Skip: s.excluded(j, skip),
 	}
 	s.setParts(j, &call, &r)
@@ -349,10 +352,14 @@
 	a.result = s.classify(ctx, j, &a)
 	switch {
 	case a.result == served && isStream:
+		res.ReportPace(PaceReport{Stated: a.reply.Pace})
 		a.result, a.err = s.relay(j, p, &a, func() {
 			stallTimer.Stop()
 			res.MarkStarted()
 		})
+		if s.deps.Chooser.Paces.IsLearned(j.service) {
+			res.ReportPace(PaceReport{Step: a.steps.step(j.pool.EventTokens)})
+		}
 		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
 	case (a.result == served || a.result == failed) && p.begun:
 		a.result, a.err = broken, &resumeError{a.reply.Status}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -12,6 +12,7 @@
 	"knapweedplank.org/plank/internal/evac"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/peer"
 	"knapweedplank.org/plank/internal/pick"
 	"knapweedplank.org/plank/internal/wire"
@@ -28,6 +29,9 @@
 	// MarkFailed records that the engine failed the call or, if reached is false,
 	// that it could not be reached.
 	MarkFailed(reached bool)
+	// ReportPace records what the answer shows of the engine's pace. It is called before
+	// MarkStarted and once the stream has ended.
+	ReportPace(r PaceReport)
 	// Release ends the reservation. It must be called once the call has ended.
 	Release()
 }
@@ -59,6 +63,7 @@
 	// ended.
 	LastPause func() (length, ago time.Duration)
 	Chooser   *Chooser
+	Paces     *pace.Table // nil if none are learned
 	Transport *peer.Transport
 	Clock     plank.Clock
 	Log       *logrus.Entry
@@ -81,7 +86,7 @@
 	case !res.Granted:
 		return inst, nil, noCapacity(res.Reason, res.RetryAfter)
 	}
-	return res.Instance, localReservation{res}, nil
+	return res.Instance, localReservation{res, b.Paces}, nil
 }
 
 // noCapacity returns a refusal for lack of capacity. retry is the time after which
@@ -95,6 +100,7 @@
 // A localReservation is a reservation on an engine whose lease this VM holds.
 type localReservation struct {
 	*grant.Reservation
+	paces *pace.Table
 }
 
 // Version implements Reservation.
@@ -175,6 +181,7 @@
 		Priority: uint32(max(0, r.Priority)), WaitMicros: r.Deadline.Sub(now).Microseconds(),
 		TargetMicros: r.Target.Sub(now).Microseconds(), Parts: wireParts(r.Parts), MaxOutput: float64(r.MaxOutput),
 	}
+	req.GapMicros = r.MaxGap.Microseconds()
 	for _, id := range r.Skip {
 		req.Skip = append(req.Skip, string(id))
 	}
@@ -252,13 +259,18 @@
 	cancel  context.CancelFunc
 	version plank.VersionNumber
 	log     *logrus.Entry
+	stated  float64 // pace that the engine stated; 0 for none
 }
 
 // Version implements Reservation.
 func (r *remoteReservation) Version() plank.VersionNumber { return r.version }
 
 // MarkStarted implements Reservation.
-func (r *remoteReservation) MarkStarted() { r.sendNote(&wire.ReserveNote{Began: true}) }
+func (r *remoteReservation) MarkStarted() {
+	n := PaceReport{Stated: r.stated}.note()
+	n.Began = true
+	r.sendNote(n)
+}
 
 // MarkAdapterMissing implements Reservation.
 func (r *remoteReservation) MarkAdapterMissing() { r.sendNote(&wire.ReserveNote{Missing: true}) }
@@ -320,6 +332,7 @@
 		Target: now.Add(time.Duration(req.TargetMicros) * time.Microsecond), Deadline: now.Add(time.Duration(req.WaitMicros) * time.Microsecond),
 		Parts: promptParts(req.Parts), MaxOutput: plank.Tokens(req.MaxOutput),
 	}
+	r.MaxGap = time.Duration(max(0, req.GapMicros)) * time.Microsecond
 	for _, id := range req.Skip {
 		r.Skip = append(r.Skip, plank.EndpointID(id))
 	}
@@ -359,6 +372,7 @@
 // has few calls on each engine, so the holder collects failures from all VMs.
 func (b *Broker) handleNote(res *grant.Reservation, n *wire.ReserveNote) {
 	b.handleColdNote(res.Instance, n)
+	b.recordNotedPace(res, n)
 	switch id := res.Instance.ID; {
 	case n.Began:
 		res.MarkStarted()
@@ -382,7 +396,7 @@
 	if pool == nil {
 		return &wire.ReserveReply{Reason: "no such service"}
 	}
-	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), Parts: r.Parts, Hash: evac.CallHash(r.ID)}
+	call := pick.Call{Adapter: r.Adapter, Prompt: r.Prompt, Output: r.Output, Target: r.Target.Sub(b.Clock.Now()), MaxGap: r.MaxGap, Parts: r.Parts, Hash: evac.CallHash(r.ID)}
 	c, ok := b.Chooser.Choose(service, pool, call, func(id plank.EndpointID) bool { return slices.Contains(r.Skip, id) })
 	if !ok || !c.Engine.StateKnown {
 		return &wire.ReserveReply{Reason: "no engine to ask", RetryMicros: noCapacityRetry.Microseconds()}
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/prefix"
 	"knapweedplank.org/plank/internal/recent"
 	"knapweedplank.org/plank/internal/wire"
@@ -71,8 +72,9 @@
 	versionGrace = 2 * time.Second
 	// prefillHalfLife is the half-life of the decayed count of prompt tokens.
 	prefillHalfLife = time.Second
-	// maxBacklog is the maximum backlog of an engine in prompt tokens, about a second
-	// of prefill; further calls wait in the queue, where they are ordered by priority.
+	// maxBacklog is the maximum backlog of an engine of the usual pace in prompt tokens,
+	// about a second of prefill; further calls wait in the queue, where they are ordered by
+	// priority.
 	maxBacklog = 38_000
 	// useHalfLife is the half-life of the decayed count of an adapter's uses.
 	useHalfLife = 10 * time.Second
@@ -83,6 +85,7 @@
 	MaxRunning  int          // calls in the batch
 	Memory      plank.Tokens // capacity of the KV cache
 	MaxAdapters int          // adapter slots
+	EventTokens plank.Tokens // in an event of a stream; 0 if not known
 	Base        plank.BaseID // loaded if the engine holds no base model; may be empty
 }
 
@@ -96,7 +99,9 @@
 	Output  plank.Tokens // expected number
 	// MaxOutput is the maximum of the output; 0 if not known.
 	MaxOutput plank.Tokens
-	Priority  int // lower values go first
+	// MaxGap is the longest pause between events that is not late; 0 for no limit.
+	MaxGap   time.Duration
+	Priority int // lower values go first
 	// Target is the time by which the first token is due.
 	Target time.Time
 	// Deadline is when the request is refused if it has not been granted.
@@ -131,6 +136,13 @@
 	failed    bool           // the engine failed the call
 	spread    plank.Tokens   // of the output beyond Output, as counted in Engine.overruns
 	overrunAt time.Time      // when the output may exceed Output; zero before the first event
+
+	// grantedAt is when the reservation was granted, and ahead counts the prompt tokens to
+	// be processed then, with its own.
+	grantedAt time.Time
+	ahead     plank.Tokens
+	// strict is set while the reservation counts in the engine's strict streams.
+	strict bool
 }
 
 type slotState int
@@ -187,6 +199,10 @@
 	// isOutOfService is as in Deps.
 	isOutOfService func(plank.DomainID) bool
 
+	paces         *pace.Table // may be nil
+	publishedPace float64     // in the state that was published last
+	strict        strictStreams
+
 	// bases and slots are what the engine holds according to the last status and the
 	// orders since.
 	bases  map[plank.BaseID]bool
@@ -241,7 +257,7 @@
 func NewEngine(h HeldEngine, deps *Deps) *Engine {
 	e := &Engine{
 		inst: h.Instance, limits: h.Limits, fencingToken: plank.FencingToken{Holder: deps.Self, Term: h.Term},
-		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, isOutOfService: deps.IsOutOfService, contended: deps.Contended, adoptedAt: deps.Clock.Now(),
+		evictor: deps.Evictor, newestVersion: deps.NewestVersion, supersededAt: deps.SupersededAt, inUseElsewhere: deps.InUseElsewhere, health: deps.Health, pausedUntil: deps.PausedUntil, isOutOfService: deps.IsOutOfService, contended: deps.Contended, paces: deps.Paces, adoptedAt: deps.Clock.Now(),
 		bases: make(map[plank.BaseID]bool), slots: make(map[plank.AdapterRef]*adapterSlot), running: make(map[*reservation]bool),
 		users: make(map[plank.AdapterRef]int), cold: newColdGate(deps), learnsCost: deps.learnsCost, parts: prefix.NewDirectory(prefix.MaxEntries(1)),
 	}
@@ -299,6 +315,7 @@
 		return
 	}
 	e.endPrefill(res)
+	e.strict.remove(res)
 	delete(e.running, res)
 	e.releaseParts(res)
 	e.removeOverrun(res)
@@ -376,7 +393,7 @@
 	if len(e.running) == 0 {
 		return true
 	}
-	if e.backlog > 0 && e.backlog+res.Prompt-kept.Kept > maxBacklog {
+	if e.exceedsBacklog(res.Prompt - kept.Kept) {
 		return false
 	}
 	return len(e.running) < e.limits.MaxRunning && e.usedMemory+res.memory()-kept.InUse+e.overruns.with(e.spread(res), 1).reserve() <= e.limits.Memory
@@ -411,6 +428,8 @@
 	e.acquireParts(res)
 	e.addOverrun(res)
 	e.backlog += res.unread
+	res.grantedAt, res.ahead = now, e.backlog
+	e.countStrict(res)
 	e.prefill, e.prefillAt = e.agedPrefill(now)+float64(res.unread), now
 	out := Outcome{Granted: true, Kept: res.Prompt - res.unread}
 	e.users[res.Adapter]++
@@ -491,6 +510,7 @@
 		}
 		return 1
 	})
+	e.addPace(s)
 	return s
 }
 
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -31,6 +31,12 @@
 // Begin records the first event of a reservation at a time.
 func (e *Engine) Begin(res *TestReservation, now time.Time) { e.markStarted(res.res, now) }
 
+// MarkStartedAt records the first event of a reservation that arrived at now.
+func (e *Engine) MarkStartedAt(res *TestReservation, now time.Time) {
+	e.recordFirstEvent(res.res, now)
+	e.markStarted(res.res, now)
+}
+
 // Release releases a reservation.
 func (e *Engine) Release(res *TestReservation, now time.Time) { e.release(res.res, now) }
 
--- a/internal/grant/wait.go
+++ b/internal/grant/wait.go
@@ -38,7 +38,7 @@
 	case e.isCold() && e.serves(res, now):
 		return causeCold
 	case res.Adapter.Name == "" || slot != nil && slot.state == resident && !e.isStale(slot, now, res.Version):
-		if e.backlog > 0 && e.backlog+res.unread > maxBacklog {
+		if e.exceedsBacklog(res.unread) {
 			return causePrefill
 		}
 		return causeCapacity
@@ -61,7 +61,8 @@
 	v.Queued-- // the reservation itself
 	v.Backlog -= res.unread
 	v.Kept = res.Prompt - res.unread
-	return pick.TimeToFirstToken(&v, pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output}) - pick.PrefillTime(res.unread)
+	call := pick.Call{Adapter: res.Adapter, Prompt: res.Prompt, Output: res.Output}
+	return pick.TimeToFirstToken(&v, call) - v.PrefillTime(call)
 }
 
 // logWaiting logs what queued calls wait for, if there are any.
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -6,8 +6,8 @@
 )
 
 // learnsCost reports whether the estimates for a service's calls include what engines keep of
-// prompts.
-func (n *Node) learnsCost(plank.ServiceID) bool { return n.settings.Contended }
+// prompts, as they do where the paces of endpoints are learned.
+func (n *Node) learnsCost(service plank.ServiceID) bool { return n.paces.IsLearned(service) }
 
 // setPartGauges updates the gauges of the directories of kept prompt parts.
 func (n *Node) setPartGauges() {
