grant: the time of loads from the weight store is learned, and lost checks tell nothing of it

Cause: loads that take 288 ms were compared with a constant 253 ms. With the 20 ms between checks they seemed slow enough that a limit once lowered never rose again, and a load whose check got no response was taken for a slow one.

Change: the base is the shortest time seen, unless that is long enough for an overloaded store; loads with an unanswered check are no samples.

--- a/internal/grant/coldload.go
+++ b/internal/grant/coldload.go
@@ -66,8 +66,9 @@
 	limit   float64
 	growth  float64 // of the next window, as a fraction of the limit
 	engines int     // of the fleet
-	// base is how long loads take that are not slowed by each other.
-	base time.Duration
+	// base is how long loads take that are not slowed by each other, and fastest the shortest
+	// time of a load; 0 for none.
+	base, fastest time.Duration
 	// samples are the times of the loads that ended since windowStart, without those that
 	// began before sampleAfter. refused is set if the limit held a load back meanwhile.
 	samples     []time.Duration
@@ -105,6 +106,19 @@
 	}
 }
 
+// learnBase raises the base to the shortest time of a load, if that is not so long that the
+// store may be overloaded. Loads of 288 ms were taken for slowed ones otherwise: a limit that
+// had been lowered never rose again, and of 32 loads that the store served at full speed 15
+// were in progress. The samples are sorted.
+func (c *coldLimiter) learnBase() {
+	if c.fastest == 0 || c.samples[0] < c.fastest {
+		c.fastest = c.samples[0]
+	}
+	if c.base < c.fastest && float64(c.fastest) < slowLoadRatio*float64(coldLoadPoll) {
+		c.base = c.fastest
+	}
+}
+
 // adjust changes the limit at the end of a window with enough loads. inProgress is the
 // number of loads in progress in the fleet.
 func (c *coldLimiter) adjust(inProgress int, now time.Time) {
@@ -114,6 +128,7 @@
 	}
 	slices.Sort(c.samples)
 	median := c.samples[len(c.samples)/2]
+	c.learnBase()
 	ratio := float64(median) / float64(c.base)
 	switch {
 	case c.tookBefore == 0:
--- a/internal/grant/coldload_test.go
+++ b/internal/grant/coldload_test.go
@@ -1,6 +1,7 @@
 package grant_test
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -84,6 +85,7 @@
 		bound, later     int // of the store; later from 6 s on
 		slowdown         float64
 		settle           time.Duration // 2 s if 0
+		takes            time.Duration // of a load at full speed; loadTime if 0
 	}{
 		{name: "far fewer than expected", engines: 9, holders: 3, bound: 2, settle: 8 * time.Second},
 		{name: "small site", engines: 9, holders: 3, bound: 8},
@@ -95,9 +97,12 @@
 		{name: "a bound that falls", engines: 60, holders: 3, bound: 80, later: 20},
 		{name: "a bound that rises", engines: 60, holders: 3, bound: 20, later: 80},
 		{name: "a single holder", engines: 60, holders: 1, bound: 80},
+		{name: "loads that take longer", engines: 60, holders: 4, bound: 32, takes: 288 * time.Millisecond},
+		{name: "loads that take longer, and many more of them", engines: 60, holders: 4, bound: 80, takes: 288 * time.Millisecond},
 		{name: "slow for other reasons", engines: 60, holders: 3, bound: 80, slowdown: 1.6, settle: 6 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			takes := cmp.Or(test.takes, loadTime)
 			rnd := rand.New(rand.NewPCG(1, uint64(test.bound)))
 			store := &weightStore{bound: test.bound, slowdown: test.slowdown}
 			holders := make([]*grant.ColdLimiter, test.holders)
@@ -130,7 +135,7 @@
 						h.Adjust(inProgress[i]+elsewhere, now)
 						for started := 0; started < 4 && h.MayStart(test.engines/test.holders, inProgress[i], elsewhere); started++ {
 							inProgress[i]++
-							store.remaining = append(store.remaining, &storeLoad{holder: i, left: loadTime, started: now})
+							store.remaining = append(store.remaining, &storeLoad{holder: i, left: takes, started: now})
 						}
 					}
 					most = max(most, len(store.remaining))
@@ -140,7 +145,7 @@
 			check := func(bound int, from, to time.Duration) {
 				t.Helper()
 				perSecond, most := rate(from, to)
-				best := float64(bound) / loadTime.Seconds() / max(1, test.slowdown)
+				best := float64(bound) / takes.Seconds() / max(1, test.slowdown)
 				t.Logf("%.0f loads a second of %.0f, at most %d at once of %d", perSecond, best, most, bound)
 				assert.Assert(t, perSecond > 0.9*best, "%.0f loads a second of %.0f", perSecond, best)
 				assert.Assert(t, most <= max(2, test.holders)*bound, "%d loads at once, %d at full speed", most, bound)
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -164,6 +164,8 @@
 	pollAt   time.Time // time of the next check of the load
 	// coldUntil is when the load stops counting against the limit of cold loads.
 	coldUntil time.Time
+	// checkLost is set if a check of the load got no response, so that its end is noticed late.
+	checkLost bool
 	// keepUntil is when the slot may be reassigned again after the engine refused to
 	// unload the adapter.
 	keepUntil time.Time
--- a/internal/grant/orders.go
+++ b/internal/grant/orders.go
@@ -251,7 +251,7 @@
 	switch {
 	case result == plank.OrderDone:
 		slot.state = resident
-		if !slot.coldUntil.IsZero() && now.Sub(slot.pollAt) < maxCheckDelay {
+		if !slot.coldUntil.IsZero() && !slot.checkLost && now.Sub(slot.pollAt) < maxCheckDelay {
 			e.coldLoadTook = now.Sub(slot.loadedAt)
 		}
 		slot.loadedAt, slot.coldUntil = now, time.Time{}
@@ -264,7 +264,7 @@
 		}
 	default:
 		slot.state = loading
-		slot.loadedAt = now // time of the order, until the load has ended
+		slot.loadedAt, slot.checkLost = now, false // time of the order, until the load has ended
 		slot.pollAt, slot.coldUntil = now.Add(recentLoadPoll), time.Time{}
 		if !e.recent.Has(slot.ref) {
 			slot.pollAt, slot.coldUntil = now.Add(coldLoadPoll), now.Add(maxColdLoadTime)
@@ -282,7 +282,7 @@
 	e.unansweredCount++
 	if slot := e.slots[o.Target.Adapter]; slot != nil && slot.state == loading && !o.Unload && slot.version == o.Target.Version {
 		// The order was a check of a load, which engines do not count.
-		slot.pollAt = now.Add(pollInterval)
+		slot.pollAt, slot.checkLost = now.Add(pollInterval), true
 		if e.unansweredCount >= maxUnanswered {
 			e.unresponsive = true
 			e.markColdContact(true)
