--- a/internal/node/evacuated_test.go
+++ b/internal/node/evacuated_test.go
@@ -132,3 +132,46 @@
 		return poll.Continue("not yet")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// A fleet with relays in three failure domains, of which two lose the store. Guards against VMs that
+// learn of an entry or its removal later than the bound, as no VM of their domain reads the store, and
+// against a watcher that freezes as it is written.
+func TestEvacuationReachesDomainsWithoutTheStore(t *testing.T) {
+	const vms, limit = 36, 5 * time.Second
+	d := startDomains(t, vms, func(i int, s *platform.Settings) {
+		s.Domain, s.Bounds.Evacuate = plank.DomainID("xyz"[i%3:i%3+1]), limit
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if d.minReachable() == vms-1 {
+			return poll.Success()
+		}
+		return poll.Continue("a VM reaches %d others", d.minReachable())
+	}, poll.WithTimeout(30*time.Second))
+	var frozen *Node
+	for i, n := range d.nodes {
+		if i%3 > 0 {
+			d.links.cutStore(n.settings.IP)
+		} else if n.watchPolicy.mustWatch() {
+			frozen = n
+		}
+	}
+	awaitAll := func(out bool) {
+		t.Helper()
+		began := time.Now()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			for _, n := range d.nodes {
+				if n != frozen && n.isOutOfService("x") != out {
+					return poll.Continue("%s of %s does not know", n.settings.VM, n.settings.Domain)
+				}
+			}
+			return poll.Success()
+		}, poll.WithTimeout(limit), poll.WithDelay(20*time.Millisecond))
+		t.Logf("known after %v", time.Since(began))
+	}
+	assert.Assert(t, frozen != nil)
+	d.links.freeze(frozen.settings.IP)
+	d.store.Put("evacuations/x", struct{}{})
+	awaitAll(true)
+	d.store.Delete("evacuations/x")
+	awaitAll(false)
+}
--- a/internal/node/slowholder_test.go
+++ b/internal/node/slowholder_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/duty"
+	"knapweedplank.org/plank/platform"
 	"knapweedplank.org/plank/platform/stand"
 )
 
@@ -30,7 +31,7 @@
 	l, seed := newLinks(), ""
 	var nodes []*Node
 	for i := range 3 {
-		n, addr := startControl(ctx, t, l, i, ln.Addr().String(), seed)
+		n, addr := startControl(ctx, t, l, i, ln.Addr().String(), seed, func(int, *platform.Settings) {})
 		if seed == "" {
 			seed = addr
 		}
--- a/internal/node/slowlinks_test.go
+++ b/internal/node/slowlinks_test.go
@@ -194,6 +194,12 @@
 
 // startDomain starts the control plane of n VMs, which follow one store.
 func startDomain(t *testing.T, n int) *slowDomain {
+	t.Helper()
+	return startDomains(t, n, func(int, *platform.Settings) {})
+}
+
+// startDomains is like startDomain with settings that configure changes, by the VM's number.
+func startDomains(t *testing.T, n int, configure func(int, *platform.Settings)) *slowDomain {
 	t.Helper()
 	d := &slowDomain{store: stand.NewStore(), links: newLinks()}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -206,7 +212,7 @@
 	t.Cleanup(cancel)
 	var seed string
 	for i := range n {
-		node, addr := startControl(ctx, t, d.links, i, ln.Addr().String(), seed)
+		node, addr := startControl(ctx, t, d.links, i, ln.Addr().String(), seed, configure)
 		d.nodes = append(d.nodes, node)
 		if seed == "" {
 			seed = addr
@@ -217,7 +223,7 @@
 
 // startControl starts the parts of a daemon that follow the store and exchange
 // messages with the other VMs. It returns the address for those.
-func startControl(ctx context.Context, t *testing.T, l *links, i int, store, seed string) (*Node, string) {
+func startControl(ctx context.Context, t *testing.T, l *links, i int, store, seed string, configure func(int, *platform.Settings)) (*Node, string) {
 	t.Helper()
 	ip := fmt.Sprintf("127.0.9.%d", i+1)
 	log := logrus.New()
@@ -229,6 +235,7 @@
 		},
 		boot: newBoot(), clock: plank.SystemClock{}, log: log.WithField("vm", i), registry: metrics.NewRegistry(),
 	}
+	configure(i, n.settings)
 	ln, err := net.Listen("tcp", ip+":0")
 	assert.NilError(t, err)
 	n.buildState()
