--- a/internal/pick/gaps.go
+++ b/internal/pick/gaps.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"math"
 	"time"
 
 	"knapweedplank.org/plank"
@@ -96,7 +95,16 @@
 // make an event take the longest time.
 func (e *Engine) readWithin(backlog plank.Tokens, d time.Duration) float64 {
 	read := float64(backlog) + e.PrefillRate*d.Seconds()
-	return 1 - math.Exp(-read/(float64(e.EventTokens)*chunkTokens))
+	return 1 - decay(read/(float64(e.EventTokens)*chunkTokens))
+}
+
+// decay approximates exp(-x) to 0.05 for x of 0 and more. math.Exp took a third of the time of
+// a choice.
+func decay(x float64) float64 {
+	y := 1 / (1 + x/8)
+	y *= y
+	y *= y
+	return y * y
 }
 
 // exposure returns how likely prompts that are read during the call's output make it late.
