Pace: VMs exchange the stated paces of plain endpoints; answers should end before their deadline

A VM that chooses an engine itself counts whether the output is likely to end in time. Where pauses count, an output's cost no longer grows with the pace: slow engines that read no prompts suit outputs.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -164,7 +164,7 @@
 	now := s.deps.Clock.Now()
 	call.Target = j.target.Sub(now)
 	if s.deps.Chooser.Paces.IsLearned(j.service) {
-		call.MaxGap = j.route.MaxGap
+		call.MaxGap, call.Left = j.route.MaxGap, j.deadline.Sub(now)
 	}
 	until := s.reservationDeadline(j, now)
 	if !until.After(now) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,7 @@
 	n.view = view.New(n.viewChanged)
 	n.table = watch.NewTable(n.state.setObject)
 	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.settings.Bounds.ConfigApply, linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
+	n.state.paceTable = n.paces
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
@@ -402,6 +403,7 @@
 			n.state.expireObservations()
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
+			n.state.forgetPaces(current)
 			n.health.ExpirePauses()
 			n.paces.Expire()
 			n.pool.Sweep(func(k conns.Key) bool { _, ok := current[k.Endpoint]; return ok })
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -14,6 +14,7 @@
 	"knapweedplank.org/plank/internal/front"
 	"knapweedplank.org/plank/internal/limit"
 	"knapweedplank.org/plank/internal/mesh"
+	"knapweedplank.org/plank/internal/pace"
 	"knapweedplank.org/plank/internal/poison"
 	"knapweedplank.org/plank/internal/view"
 	"knapweedplank.org/plank/internal/watch"
@@ -64,6 +65,10 @@
 	// leaving holds the endpoints that said themselves that they leave, with the
 	// numbers of the changes.
 	leaving map[plank.Run]uint64
+	// paces holds the paces that endpoints of plain services stated in answers to this VM.
+	paces map[plank.Run]paceChange
+
+	paceTable *pace.Table
 }
 
 // An engineChange is the state of an engine with the number of its last change.
@@ -142,6 +147,7 @@
 			g.LeavingEndpoints = append(g.LeavingEndpoints, &wire.Run{Endpoint: string(run.Endpoint), Born: run.Born})
 		}
 	}
+	g.Paces = s.changedPaces(opts.AfterChange, now)
 	return g, covered
 }
 
@@ -249,6 +255,7 @@
 			s.setSuspect(e) // VMs that the sender does not send to learn of it here
 		}
 	}
+	s.mergePaces(g.Paces, age)
 	for _, x := range g.LeavingEndpoints {
 		s.markLeaving(plank.Run{Endpoint: plank.EndpointID(x.Endpoint), Born: x.Born}, string(vm))
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -125,7 +125,13 @@
 // RecordStated records the pace that an endpoint of a service states. Invalid ones are ignored.
 // It reports whether the service is the first of which paces are learned from now on.
 func (t *Table) RecordStated(service plank.ServiceID, run plank.Run, p float64) (first bool) {
-	if t == nil || !IsValid(p) {
+	return t.RecordStatedBefore(service, run, p, 0)
+}
+
+// RecordStatedBefore is RecordStated for a pace that was stated some time ago. It does nothing
+// if a later one is known.
+func (t *Table) RecordStatedBefore(service plank.ServiceID, run plank.Run, p float64, age time.Duration) (first bool) {
+	if t == nil || !IsValid(p) || age < 0 || age > fadeUntil {
 		return false
 	}
 	t.mu.Lock()
@@ -135,9 +141,12 @@
 	t.learned.Store(true)
 	now := t.clock.Now()
 	e := t.entry(run, now)
-	e.stated, e.statedAt = math.Log(p), now
-	e.heardAt = now
-	e.statements.add(e.stated, meanHalfLife, now)
+	at := now.Add(-age)
+	if at.Before(e.statedAt) {
+		return first
+	}
+	e.stated, e.statedAt, e.heardAt = math.Log(p), at, now
+	e.statements.add(e.stated, meanHalfLife, at)
 	return first
 }
 
--- a/internal/pick/engine.go
+++ b/internal/pick/engine.go
@@ -127,6 +127,8 @@
 	MaxGap time.Duration
 	// Target is the time left until the first token is late.
 	Target time.Duration
+	// Left is the time left until the end of the answer is of no use; 0 if not known.
+	Left time.Duration
 }
 
 // TimeToFirstToken returns the expected time to the first token on an engine.
@@ -209,7 +211,14 @@
 		cost += lateFactor * late
 	}
 	cost += time.Duration(interferenceWeight * float64(min(e.Running, maxInterference)) * float64(e.prefillTime(e.unread(c))))
-	cost += time.Duration(decodeWeight * float64(decodeTime(e, c)))
+	decode := decodeTime(e, c)
+	if e.learnsGaps() {
+		cost += e.deadlineCost(c, ttft+decode)
+		// The pace of the output itself does not matter to its caller: slow engines that
+		// read no prompts suit outputs well.
+		decode = time.Duration(float64(decode) / e.Pace)
+	}
+	cost += time.Duration(decodeWeight * float64(decode))
 	cost += e.gapCost(c)
 	if c.Adapter.Name != "" && e.loadsFromStore() {
 		cost += storeLoadCost
--- a/internal/pick/gaps.go
+++ b/internal/pick/gaps.go
@@ -119,3 +119,10 @@
 	}
 	return late * e.readWithin(e.Backlog, decodeTime(e, c))
 }
+
+// deadlineCost returns the cost of an answer that is likely to end after its deadline, given its
+// expected time. The expected output is right at the median and often far off, so the cost grows
+// by degrees from two thirds of the time left on.
+func (e *Engine) deadlineCost(c Call, expected time.Duration) time.Duration {
+	return time.Duration(lateFraction(expected, c.Left) * float64(lateStreamCost))
+}
--- a/internal/pick/pace_test.go
+++ b/internal/pick/pace_test.go
@@ -125,3 +125,28 @@
 	i, _ := pick.BestEngine([]pick.Engine{reading, idle}, call, none)
 	assert.Equal(t, i, 1)
 }
+
+// Guards against an output that does not end before its deadline on a slow engine, while a fast
+// one would finish it in time.
+func TestOutputEndsBeforeItsDeadline(t *testing.T) {
+	slow := engine("a", func(e *pick.Engine) { e.Resident, e.Pace, e.EventTokens = true, 1.8, 5 })
+	fast := engine("b", func(e *pick.Engine) {
+		e.Resident, e.Pace, e.EventTokens, e.Running, e.PrefillRate = true, 0.8, 5, 40, 3000
+	})
+	call := shortPrompt
+	choose := func(left time.Duration) int {
+		call.Left = left
+		i, _ := pick.BestEngine([]pick.Engine{slow, fast}, call, none)
+		return i
+	}
+	// 290 tokens take 2.6 and 1.2 s there.
+	assert.Equal(t, choose(2500*time.Millisecond), 1)
+	assert.Equal(t, choose(0), choose(10*time.Second), "a deadline that is far")
+	slowCost := func(left time.Duration) time.Duration {
+		call.Left = left
+		cost, _ := pick.Cost(&slow, call)
+		return cost
+	}
+	assert.Assert(t, slowCost(2500*time.Millisecond) > slowCost(3200*time.Millisecond))
+	assert.Assert(t, slowCost(3200*time.Millisecond) > slowCost(10*time.Second))
+}
