--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -128,8 +128,10 @@
 			excluded.cold++
 			continue
 		}
+		paces := s.deps.Chooser.Paces
 		replicas = append(replicas, pick.Replica{
-			Cold: isCold, Instance: inst, Calls: calls[inst.ID] + s.deps.InFlight.Count(inst.ID),
+			Pace: paces.Pace(j.service, inst.Run()), Cold: isCold,
+			Instance: inst, Calls: max(calls[inst.ID]+s.deps.InFlight.Count(inst.ID), paces.Load(inst.Run())),
 			FailRate: s.deps.Health.FailRate(inst.ID), Avoid: s.deps.Health.IsAvoided(inst.ID) || v.HoldsBack(inst, hash, now), Remote: inst.Domain != s.deps.Domain,
 		})
 	}
@@ -145,6 +147,9 @@
 		return s.pickReplica(j, tried) // another call took the portion meanwhile
 	}
 	fields := logrus.Fields{"endpoint": r.Instance.ID, "calls": r.Calls, "fail_rate": r.FailRate, "avoid": r.Avoid, "of": len(replicas)}
+	if r.Pace > 0 {
+		fields["pace"], fields["cost"] = r.Pace, r.Cost()
+	}
 	excluded.logTo(fields)
 	j.log.WithFields(fields).Info("front: routed")
 	return r.Instance, true
@@ -161,6 +166,7 @@
 			defer cancel()
 		}
 	}
+	sentAt, calls := s.deps.Clock.Now(), s.deps.InFlight.Count(inst.ID)+1
 	s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, 1)
 	defer s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, -1)
 	reply, err := s.deps.Sender.Send(ctx, j.call, plank.Dispatch{Instance: inst, Workspace: j.workspaceID(), Deadline: deadline, Urgency: -1})
@@ -171,6 +177,7 @@
 	}
 	a.result = s.classify(ctx, j, &a)
 	if a.result == served {
+		s.deps.Chooser.Paces.RecordPlain(j.service, inst.Run(), s.deps.Clock.Now().Sub(sentAt), calls, inst.Slots)
 		s.recordBegun(j, &a)
 	}
 	s.recordHealth(j, &a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,6 +164,7 @@
 	n.table = watch.NewTable(n.state.setObject)
 	n.addEvacuationSink()
 	n.watchPolicy = &watchPolicy{turn: newTurn(), endpointTurn: newTurn(), self: n.settings.VM, domain: n.settings.Domain, clock: n.clock, log: n.log, bound: n.updateBound(), linkMbps: n.settings.LinkMbps, view: n.view, bootstrap: n.settings.Bootstrap, startedAt: n.clock.Now()}
+	n.state.paceTable = n.paces
 	n.state.table, n.state.watchPolicy, n.state.clock = n.table, n.watchPolicy, n.clock
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
@@ -211,7 +212,8 @@
 		n.log.WithField("endpoint", key.Endpoint).WithError(err).Warn("node: ignored a field of an answer")
 	}
 	run := plank.Run{Endpoint: key.Endpoint, Born: key.Born}
-	n.recordStatedPace(run, platform.DecodePace(h))
+	requests, stated := platform.DecodeLoad(h)
+	n.recordStatedLoad(run, requests, stated)
 	if notice.Leaving {
 		n.state.markLeaving(run, "the endpoint")
 	}
@@ -410,6 +412,7 @@
 			n.state.expireObservations()
 			current := n.view.Load().Instances
 			n.state.forgetLeaving(current)
+			n.state.forgetPaces(current)
 			n.health.ExpirePauses()
 			n.state.expireCold(current)
 			n.paces.Expire()
