--- a/cmd/knapweedplank/entry.go
+++ b/cmd/knapweedplank/entry.go
@@ -20,6 +20,14 @@
 	Settings string `env:"KNAPWEEDPLANK_NODE_FILE" required:"" placeholder:"FILE" help:"Settings file that the platform writes."`
 }
 
+// The runtime collects garbage more often as its memory approaches memoryLimitPercent of the
+// process's limit. The rest is for what the runtime does not count, such as the pages of the
+// program, and for what is allocated while a collection runs.
+const (
+	megabyte           = 1_000_000
+	memoryLimitPercent = 75
+)
+
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully; a second signal
 // stops the process at once.
 func (c *entryCmd) Run() error {
@@ -28,6 +36,9 @@
 		return &exitError{code: exitUsage, err: err}
 	}
 	debug.SetGCPercent(gcPercent)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryMB) * megabyte * memoryLimitPercent / 100)
+	}
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
 	log := logrus.New()
--- a/errors.go
+++ b/errors.go
@@ -62,6 +62,7 @@
 	CodeDeadlineExceeded  Code = "deadline_exceeded"
 	CodeNoEndpoint        Code = "no_endpoint"
 	CodeNotReady          Code = "not_ready"
+	CodeOverloaded        Code = "overloaded" // callers hold too much of the VM's memory
 	CodeLedgerUnavailable Code = "ledger_unavailable"
 	CodeInProgress        Code = "in_progress"
 	CodeKeyReused         Code = "idempotency_key_reused"
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -1,9 +1,14 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
+
+	"knapweedplank.org/plank/internal/budget"
+	"knapweedplank.org/plank/internal/pause"
 )
 
 // Limits, in bytes, of answers that are read whole before they are forwarded.
@@ -20,6 +25,7 @@
 var (
 	errBodyTooLong   = errors.New("answer longer than 8 MiB")
 	errTotalTooLarge = errors.New("answers being read exceed 32 MiB in total")
+	errNoMemory      = errors.New("callers hold too much of the VM's memory for the answer")
 )
 
 // A bodyReader reads whole answers with a bound on their total memory, since a
@@ -28,27 +34,40 @@
 	allocated atomic.Int64
 }
 
-// read returns the whole body. If r fails, it returns what was read and the error.
-func (b *bodyReader) read(r io.Reader) ([]byte, error) {
+// read returns the whole body. If r fails, it returns what was read and the error. The memory
+// is charged to holder until its request ends, as the caller may not read the answer; read
+// waits for it until ctx ends, because the call may have run.
+func (b *bodyReader) read(ctx context.Context, r io.Reader, holder *budget.Holder) ([]byte, error) {
 	var allocated int64
 	defer func() { b.allocated.Add(-allocated) }()
 	var buf []byte
 	for {
 		if len(buf) == cap(buf) {
-			size := int64(max(initialBufferBytes, 2*cap(buf)))
+			old := int64(cap(buf))
+			size := max(initialBufferBytes, 2*old)
 			if size > 2*maxBodyBytes {
+				holder.Shrink(old)
 				return nil, errBodyTooLong
 			}
+			if !waitForMemory(ctx, holder, size) {
+				holder.Shrink(old)
+				return nil, errNoMemory
+			}
 			allocated += size
 			if b.allocated.Add(size) > maxTotalBodyBytes {
+				holder.Shrink(old + size)
 				return nil, errTotalTooLarge
 			}
 			buf = append(make([]byte, 0, size), buf...)
+			holder.Shrink(old)
+			allocated -= old
+			b.allocated.Add(-old)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
 		case len(buf) > maxBodyBytes:
+			holder.Shrink(int64(cap(buf)))
 			return nil, errBodyTooLong
 		case err == io.EOF:
 			return buf, nil
@@ -57,3 +76,17 @@
 		}
 	}
 }
+
+// memoryPoll is the interval at which a call whose answer finds no memory tries again.
+const memoryPoll = 20 * time.Millisecond
+
+// waitForMemory charges n bytes to holder once there is room. It reports false if ctx ends
+// before.
+func waitForMemory(ctx context.Context, holder *budget.Holder, n int64) bool {
+	for !holder.Grow(n) {
+		if !pause.For(ctx, memoryPoll) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -44,7 +44,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var b bodyReader
 			b.allocated.Store(test.held)
-			data, err := b.read(test.r)
+			data, err := b.read(t.Context(), test.r, nil)
 			assert.Equal(t, err, test.err)
 			assert.Equal(t, len(data), test.size)
 			assert.Equal(t, b.allocated.Load(), test.held)
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
@@ -338,7 +339,7 @@
 	if a.err == nil {
 		defer a.reply.Body.Close()
 		if !isStream {
-			a.body, a.err = s.bodies.read(a.reply.Body)
+			a.body, a.err = s.bodies.read(ctx, a.reply.Body, budget.FromContext(ctx))
 		}
 	}
 	a.result = s.classify(ctx, j, &a)
@@ -365,7 +366,7 @@
 	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx):
 		res.MarkFailed(true)
 	}
-	a.healthRecorded = stalled.Load() || isStopping(ctx)
+	a.healthRecorded = stalled.Load() || isStopping(ctx) || errors.Is(a.err, errNoMemory)
 	s.recordHealth(j, &a)
 	return a.result, e
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pick"
 )
@@ -156,7 +157,7 @@
 	a := attempt{inst: inst, reply: reply, err: err}
 	if err == nil {
 		defer reply.Body.Close()
-		a.body, a.err = s.bodies.read(reply.Body)
+		a.body, a.err = s.bodies.read(ctx, reply.Body, budget.FromContext(ctx))
 	}
 	a.result = s.classify(ctx, j, &a)
 	if a.result == served {
@@ -183,7 +184,8 @@
 		return rejected
 	}
 	j.mayHaveRun = true
-	a.healthRecorded = isStopping(ctx) // an attempt that was cut says nothing of the endpoint
+	// An attempt that was cut, or whose answer found no memory here, says nothing of the endpoint.
+	a.healthRecorded = isStopping(ctx) || errors.Is(a.err, errNoMemory)
 	switch {
 	case a.err != nil || a.reply.Encoded || !a.reply.Stamped:
 		return broken
--- /dev/null
+++ b/internal/idle/held.go
@@ -0,0 +1,177 @@
+package idle
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"knapweedplank.org/plank/internal/budget"
+)
+
+// This file counts what callers hold while a connection reads and writes, and refuses heads
+// that the http.Server would read to their end.
+
+const (
+	// writePiece is the size of the pieces in which answers are written, so that a caller that
+	// reads slowly is told from one that does not read.
+	writePiece = 32 << 10
+	// refusalTimeout bounds the writing of a refusal, which fits into any socket's buffer.
+	refusalTimeout = time.Second
+	// retryAfter is when a caller that was refused for want of memory may come back.
+	retryAfter = time.Second
+)
+
+// A head counts the bytes and lines of a request's head as they arrive.
+type head struct {
+	bytes   int
+	isText  bool // a line that is not empty has arrived
+	inLine  bool // more than a CR has arrived of the current line
+	isWhole bool
+}
+
+// add counts the next bytes of a request and returns how many bytes and lines of them belong
+// to its head. The head ends with the first empty line after one that is not empty.
+func (h *head) add(p []byte) (n, lines int) {
+	for n < len(p) && !h.isWhole {
+		i := bytes.IndexByte(p[n:], '\n')
+		if i < 0 {
+			if rest := p[n:]; len(rest) > 1 || rest[0] != '\r' {
+				h.inLine = true
+			}
+			n = len(p)
+			break
+		}
+		line := p[n : n+i]
+		isEmpty := !h.inLine && (len(line) == 0 || len(line) == 1 && line[0] == '\r')
+		h.isWhole = isEmpty && h.isText
+		h.isText = h.isText || !isEmpty
+		h.inLine = false
+		n += i + 1
+		lines++
+	}
+	h.bytes += n
+	return n, lines
+}
+
+// errRefused ends the reading of a connection whose request was refused. It is a read error
+// of the connection, to which the http.Server does not answer.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request was refused")}
+
+// open adds the connection to an account, and reports whether there is room.
+func (c *conn) open(account *budget.Account) bool {
+	c.holder = account.NewHolder(c.evict)
+	return c.holder.Open()
+}
+
+// evict ends the connection or makes its reader refuse the request. Where connections are
+// short it is closed at once: one that is refused stays open until its caller has the answer.
+func (c *conn) evict(reason budget.Reason) {
+	phase, _ := c.holder.Phase()
+	switch {
+	case phase == budget.PhaseIdle, phase == budget.PhaseNew && reason == budget.TimedOut:
+		if !c.closeIfIdle() {
+			c.holder.Keep()
+		}
+	case reason != budget.NoConnection && (phase == budget.PhaseHead || phase == budget.PhaseBody):
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	default:
+		c.holder.Disconnect()
+		_ = c.Conn.Close() // the caller may have closed it
+	}
+}
+
+// count charges what was read and returns an error if the connection ends with it.
+func (c *conn) count(p []byte, readErr error) error {
+	if c.isRefused {
+		return errRefused
+	}
+	if len(p) > 0 {
+		if !c.listener.isHTTP {
+			c.holder.StartServing()
+			return nil
+		}
+		if !c.holder.StartHead() {
+			c.holder.Progress()
+			return nil
+		}
+		n, lines := c.head.add(p)
+		switch {
+		case n == 0: // after the head
+		case c.head.bytes > c.holder.Limits().MaxHeader:
+			return c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		case !c.holder.Grow(budget.HeadCost(n, lines)):
+			return c.refuse(http.StatusServiceUnavailable)
+		}
+		return nil
+	}
+	// A head that has arrived whole is refused by the handler.
+	if phase, isEvicted := c.holder.Phase(); readErr != nil && isEvicted && phase == budget.PhaseHead && !c.head.isWhole {
+		return c.refuse(http.StatusServiceUnavailable)
+	}
+	return nil
+}
+
+// refuse answers a request whose head has not arrived, which no endpoint has run.
+func (c *conn) refuse(status int) error {
+	c.isRefused = true
+	detail := http.StatusText(status) + "\n"
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n", status, http.StatusText(status), len(detail))
+	if status == http.StatusServiceUnavailable {
+		text += fmt.Sprintf("Retry-After: %.3f\r\n", retryAfter.Seconds())
+	}
+	// The caller may have closed the connection.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, text+"\r\n"+detail)
+	return errRefused
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.holder == nil || !c.listener.isHTTP {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePiece)]
+		c.holder.SetBlocked(true)
+		n, err := c.Conn.Write(piece)
+		c.holder.SetBlocked(false)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// discardBuffers hold what callers send after they were refused.
+var discardBuffers = sync.Pool{New: func() any { return new([4 << 10]byte) }}
+
+// linger closes the connection for writing and discards what the caller still sends, in the
+// background, if its request has not arrived whole: a connection that is closed with unread
+// bytes is reset, and the caller may lose the answer. It reports false if there is no need.
+func (c *conn) linger() bool {
+	phase, _ := c.holder.Phase()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || phase != budget.PhaseHead && phase != budget.PhaseBody || tcp.CloseWrite() != nil {
+		return false
+	}
+	c.holder.StartClosing()
+	// The account ends the connection when its time is over.
+	_ = tcp.SetReadDeadline(time.Time{})
+	go func() {
+		buf := discardBuffers.Get().(*[4 << 10]byte)
+		defer discardBuffers.Put(buf)
+		for {
+			if _, err := tcp.Read(buf[:]); err != nil {
+				_ = c.closeNow() // the caller may have closed it
+				return
+			}
+		}
+	}()
+	return true
+}
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -5,6 +5,7 @@
 package idle
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"knapweedplank.org/plank/internal/budget"
 )
 
 // Closing a listener resets the connections that it has not accepted, so Close first waits
@@ -24,6 +26,10 @@
 // A Listener tracks the connections that it accepted.
 type Listener struct {
 	net.Listener
+	account *budget.Account // nil if what connections hold is not counted
+	// isHTTP is set if the connections carry HTTP requests. Others count as new until their
+	// first byte, and as busy from then on.
+	isHTTP bool
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -34,17 +40,35 @@
 	return &Listener{Listener: ln, conns: make(map[*conn]bool)}
 }
 
+// WrapHTTP returns a listener for an http.Server, whose connections are counted and bounded
+// by account. ConnState and ConnContext must be set as hooks of the server, and the server
+// must have no timeouts of its own.
+func WrapHTTP(ln net.Listener, account *budget.Account) *Listener {
+	return &Listener{Listener: ln, account: account, isHTTP: true, conns: make(map[*conn]bool)}
+}
+
+// WrapOther returns a listener for another protocol, whose connections are bounded by account.
+func WrapOther(ln net.Listener, account *budget.Account) *Listener {
+	return &Listener{Listener: ln, account: account, conns: make(map[*conn]bool)}
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, listener: l}
+		if l.account != nil && !c.open(l.account) {
+			nc.Close()
+			continue
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns[c] = true
+		return c, nil
 	}
-	c := &conn{Conn: nc, listener: l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = true
-	return c, nil
 }
 
 // Close implements net.Listener. Connections that were waiting to be accepted are served.
@@ -91,9 +115,22 @@
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.setBusy(false)
+		if c.holder != nil {
+			c.head = head{}
+			c.holder.SetIdle()
+		}
 	}
 }
 
+// ConnContext adds the account of a connection to the context of its requests. It must be set
+// as the ConnContext hook of the http.Server.
+func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok && c.holder != nil {
+		return budget.NewContext(ctx, c.holder)
+	}
+	return ctx
+}
+
 // CloseIdle closes the connections on which no byte of a request has arrived since
 // the last response, and returns the number of the other connections.
 func (l *Listener) CloseIdle() int {
@@ -116,6 +153,10 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	holder   *budget.Holder // nil if the listener has no account
+	head     head           // of the request that is arriving; used by the server's goroutine only
+	// isRefused is set once a refusal was written here instead of by the server.
+	isRefused bool
 
 	mu sync.Mutex
 	// busy is set from the first byte of a request until its response is
@@ -129,6 +170,17 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if c.holder != nil {
+		if refusal := c.count(p[:n], err); refusal != nil {
+			return 0, refusal
+		}
+	}
+	return n, err
+}
+
+// read reads and marks the connection as busy.
+func (c *conn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,9 +195,20 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.holder != nil && c.linger() {
+		return nil
+	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection without waiting for what the caller still sends.
+func (c *conn) closeNow() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	if c.holder != nil {
+		c.holder.Close()
+	}
 	return c.Conn.Close()
 }
 
@@ -165,7 +228,7 @@
 	c.closedIdle = c.closedIdle || idle
 	c.mu.Unlock()
 	if idle {
-		c.Close()
+		_ = c.closeNow() // the caller may have closed it
 	}
 	return idle
 }
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -37,7 +37,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+meter.Path, meter.New(n.registry))
-	n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, ln)
+	n.serveInternal("Metrics", mux, ln)
 }
 
 // observeDelay measures how late timers fire, until ctx is cancelled.
@@ -78,6 +78,9 @@
 			set("News.AgeMs", n.clock.Now().Sub(last).Milliseconds())
 		}
 		set("Poison.PartQuarantines", int64(len(n.parts.Quarantines())))
+		bytes, open := n.callers.Usage()
+		set("Callers.HeldBytes", bytes)
+		set("Callers.Connections", int64(open))
 		set("Duties.Held", int64(n.state.dutyCount()))
 		for service, left := range n.budgets.Left() {
 			metrics.GetOrRegisterGaugeFloat64("Retries.Left."+string(service), n.registry).Update(left)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/conns"
 	"knapweedplank.org/plank/internal/delay"
 	"knapweedplank.org/plank/internal/duty"
@@ -52,10 +53,6 @@
 	// startQuiet is how long a VM that starts with its whole fleet sends to few others:
 	// a VM of a fifth of a core takes most of a second to start.
 	startQuiet = 1200 * time.Millisecond
-	// callerIdleTimeout is how long idle connections of callers stay open. It is
-	// longer than any caller keeps one open.
-	callerIdleTimeout = time.Minute
-	headerTimeout     = 10 * time.Second
 	// retryBudgetFraction is the fraction of the allowed retries that the VMs use.
 	// It leaves a margin because each VM counts its retries separately.
 	retryBudgetFraction = 0.8
@@ -93,6 +90,8 @@
 	cancel         context.CancelFunc
 	callerServer   *http.Server
 	callerListener *idle.Listener
+	callers        *budget.Account           // of what callers hold
+	accounts       []*budget.Account         // of all ports
 	stopping       atomic.Bool               // the VM reports that it is not ready
 	closing        atomic.Bool               // connections are closed after each answer
 	exitAt         atomic.Pointer[time.Time] // when calls are ended; nil while long calls are accepted
@@ -324,17 +323,16 @@
 		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Sender: platform.NewSender(n.pool, n.clock),
 		StopTime: n.exitTime, Stopping: n.calls, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
-	n.callerListener = idle.Wrap(callers)
-	n.callerServer = &http.Server{
-		Handler:           platform.NewIngress(server, n.clock, platform.IngressOptions{MaxBody: n.maxBody, Closing: n.closing.Load}, n.log),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ConnState: n.callerListener.ConnState,
-	}
+	n.callers = n.newAccount("Callers", n.callerLimits)
+	n.callerListener = idle.WrapHTTP(callers, n.callers)
+	n.callerServer = n.newServer(platform.NewIngress(server, n.clock, platform.IngressOptions{MaxBody: n.maxBody, Closing: n.closing.Load}, n.log), n.callerListener)
+	n.serve(n.callerServer, n.callerListener)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, n.serveReady)
-	n.serve(n.callerServer, n.callerListener)
-	n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, ready)
+	n.serveInternal("Ready", mux, ready)
 	n.serveMetrics()
-	go func() { n.transport.Serve(peers, n) }()
+	others := idle.WrapOther(peers, n.newAccount("Peers", n.peerLimits))
+	go func() { n.transport.Serve(others, n) }()
 	return nil
 }
 
@@ -390,6 +388,7 @@
 	go func() { n.mesh.Register(ctx, n.store) }()
 	go func() { n.duties.run(ctx) }()
 	go func() { n.observeDelay(ctx) }()
+	go func() { n.sweepAccounts(ctx) }()
 	go func() { instances.Run(ctx) }()
 	go func() {
 		for pause.For(ctx, sweepInterval) {
