--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -108,6 +108,7 @@
 	conns   int   // connections that are open
 	used    int64 // bytes, by all holders
 	evicted int64 // part of used that evicted holders have not released yet
+	sweptAt time.Duration
 }
 
 // New returns an empty account. onEvict is called for each eviction.
@@ -420,12 +421,21 @@
 // Limits returns the current limits of the holder's account.
 func (h *Holder) Limits() Limits { return h.account.limits() }
 
+// maxSweepGap is the longest time between two calls of Sweep that counts. In a longer one the
+// process did not run, and what callers sent meanwhile is not read yet.
+const maxSweepGap = time.Second
+
 // Sweep ends the connections whose time is over: heads that take too long, connections on
-// which nothing happens, and refused requests that go on.
+// which nothing happens, and refused requests that go on. It must be called several times a
+// second.
 func (a *Account) Sweep() {
 	limits, now := a.limits(), a.now()
 	var evictions []eviction
 	a.mu.Lock()
+	if gap := now - a.sweptAt; a.sweptAt > 0 && gap > maxSweepGap {
+		a.postpone(gap)
+	}
+	a.sweptAt = now
 	for _, h := range a.holders {
 		if !h.isEvicted && h.isOverdue(now, limits) {
 			evictions = append(evictions, a.markEvicted(h, TimedOut, now))
@@ -435,6 +445,18 @@
 	a.end(evictions)
 }
 
+// postpone extends the times of all connections by d. The lock is held.
+func (a *Account) postpone(d time.Duration) {
+	for _, h := range a.holders {
+		h.since += d
+		h.progress.Add(int64(d))
+		if blocked := h.blocked.Load(); blocked != 0 {
+			// A write that ends meanwhile has set it to 0.
+			h.blocked.CompareAndSwap(blocked, blocked+int64(d))
+		}
+	}
+}
+
 // idleMargin is how much longer than the limit idle connections stay open: callers measure
 // the time from when they have read the answer.
 const idleMargin = time.Second
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -236,6 +236,27 @@
 	assert.Equal(t, len(a.evictions), 0, "a request that is being served has no limit here")
 }
 
+// Guards against heads that are cut off because the process was paused and has not read what
+// arrived meanwhile.
+func TestPauseOfTheProcessEndsNoConnection(t *testing.T) {
+	a := newTestAccount(t)
+	a.clock.now = a.clock.now.Add(time.Second)
+	a.Sweep()
+	a.open().StartHead()
+	body := a.open()
+	body.StartHead()
+	body.StartBody()
+	a.clock.now = a.clock.now.Add(20 * time.Second)
+	a.Sweep()
+	assert.Equal(t, len(a.evictions), 0)
+	for range 13 {
+		a.clock.now = a.clock.now.Add(250 * time.Millisecond)
+		a.Sweep()
+	}
+	assert.Equal(t, len(a.evictions), 1)
+	assert.Equal(t, a.evictions[0].Phase, PhaseHead)
+}
+
 // Guards against memory that stays charged, or is released twice: after all connections have
 // closed, whatever happened to them, nothing is held.
 func TestAccountIsExact(t *testing.T) {
--- a/internal/idle/held.go
+++ b/internal/idle/held.go
@@ -92,7 +92,10 @@
 	}
 	if len(p) > 0 {
 		if !c.listener.isHTTP {
-			c.holder.StartServing()
+			if !c.head.isText { // the first byte
+				c.head.isText = true
+				c.holder.StartServing()
+			}
 			return nil
 		}
 		if !c.holder.StartHead() {
--- a/internal/idle/held_test.go
+++ b/internal/idle/held_test.go
@@ -214,8 +214,8 @@
 	s.mu.Lock()
 	s.limits.LingerTimeout = 0
 	s.mu.Unlock()
-	s.account.Sweep()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.account.Sweep() // the server may not have closed the connection yet
 		if s.CloseIdle() > 0 {
 			return poll.Continue("still open")
 		}
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -60,14 +60,13 @@
 			return nil, err
 		}
 		c := &conn{Conn: nc, listener: l}
-		if l.account != nil && !c.open(l.account) {
-			nc.Close()
-			continue
-		}
 		l.mu.Lock()
-		defer l.mu.Unlock()
 		l.conns[c] = true
-		return c, nil
+		l.mu.Unlock()
+		if l.account == nil || c.open(l.account) {
+			return c, nil
+		}
+		_ = c.closeNow() // the caller may have closed it
 	}
 }
 
--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -19,7 +19,7 @@
 const (
 	// memoryPercent is the part of the memory for what callers hold. Garbage takes as much
 	// again, and the program 20 MB with what it knows of the fleet.
-	memoryPercent = 30
+	memoryPercent = 25
 	megabyte      = 1_000_000
 	// reservedFDs is the number of descriptors that the platform reserves for files.
 	reservedFDs = 200
@@ -45,7 +45,7 @@
 const (
 	internalMaxHeader     = 8 << 10 // bytes
 	internalHeaderTimeout = 3 * time.Second
-	internalIdleTimeout   = 15 * time.Second
+	internalIdleTimeout   = time.Minute
 	internalMemory        = 4 << 20 // bytes
 	// peerFirstByteTimeout bounds the time to the first byte of another VM, which sends a call
 	// as soon as it is connected.
