--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -28,13 +28,19 @@
 	// smallRequest is the size up to which a request is served in the reserve beyond the
 	// budget. Ordinary requests have heads under 2 KB and bodies of up to 55 KB.
 	smallRequest = 128 << 10
-	// An evicted request counts until its goroutine has released its memory. The sum may
-	// exceed the budget by a fraction of 1/largeReserve meanwhile, and by 1/smallReserve for
-	// small requests.
-	largeReserve = 8
-	smallReserve = 4
+	// Small requests may exceed the budget by a fraction of 1/smallReserve, and are not evicted
+	// before. An evicted request counts until its goroutine has released its memory; the sum
+	// may exceed the budget by 1/largeReserve meanwhile, and by 1/evictedReserve for small
+	// requests.
+	smallReserve   = 4
+	largeReserve   = 8
+	evictedReserve = 2
 )
 
+// minBlocked is the time from which on a write counts as waiting for its caller. Writes to
+// callers that read last for microseconds.
+const minBlocked = 100 * time.Millisecond
+
 // HeadCost returns what a head of n bytes and a number of lines holds, or a part of a head.
 func HeadCost(n, lines int) int64 { return int64(headCopies*n) + int64(lines)*lineCost }
 
@@ -103,12 +109,12 @@
 	limits  func() Limits
 	onEvict func(Eviction)
 
-	mu      sync.Mutex
-	holders []*Holder
-	conns   int   // connections that are open
-	used    int64 // bytes, by all holders
-	evicted int64 // part of used that evicted holders have not released yet
-	sweptAt time.Duration
+	mu        sync.Mutex
+	conns     []*Conn
+	openConns int   // connections that are open
+	used      int64 // bytes, by all connections
+	evicted   int64 // part of used that evicted ones have not released yet
+	sweptAt   time.Duration
 }
 
 // New returns an empty account. onEvict is called for each eviction.
@@ -116,15 +122,15 @@
 	return &Account{clock: clock, start: clock.Now(), limits: limits, onEvict: onEvict}
 }
 
-// A Holder is the account of one connection. Its methods do nothing and succeed on a nil
-// Holder.
-type Holder struct {
+// A Conn is the account of one connection. Its methods do nothing and succeed on a nil
+// Conn.
+type Conn struct {
 	account *Account
 	evict   func(Reason)
 
 	// The fields below are guarded by account.mu.
 	phase  Phase
-	index  int   // in account.holders
+	index  int   // in account.conns
 	bytes  int64 // at least ConnCost
 	since  time.Duration
 	isGone bool // closed, and no longer in the account
@@ -140,123 +146,128 @@
 	blocked  atomic.Int64 // time since which a write has waited for the caller; 0 if none does
 }
 
-// NewHolder returns the account of a connection. evict ends the connection; it must not block,
+// NewConn returns the account of a connection. evict ends the connection; it must not block,
 // and may be called at any time from Open until Close.
-func (a *Account) NewHolder(evict func(Reason)) *Holder {
-	return &Holder{account: a, evict: evict, bytes: ConnCost}
+func (a *Account) NewConn(evict func(Reason)) *Conn {
+	return &Conn{account: a, evict: evict, bytes: ConnCost}
 }
 
 // now returns the time since the account was created.
 func (a *Account) now() time.Duration { return a.clock.Now().Sub(a.start) }
 
 // Open adds the connection to the account. It reports false if there is no room.
-func (h *Holder) Open() bool {
-	a := h.account
+func (c *Conn) Open() bool {
+	a := c.account
 	limits, now := a.limits(), a.now()
 	a.mu.Lock()
-	h.since = now
-	if a.conns >= limits.Conns {
-		v := a.pickVictim(nil, now, limits.EvictsIdle)
-		if v == nil || a.conns > limits.Conns+limits.Conns/largeReserve {
+	c.since = now
+	if a.openConns >= limits.Conns {
+		v := a.pickVictim(nil, now, limits.EvictsIdle, 0)
+		if v == nil || a.openConns > limits.Conns+limits.Conns/largeReserve {
 			a.mu.Unlock()
 			a.onEvict(Eviction{Reason: NoConnection, Phase: PhaseNew, Bytes: ConnCost})
 			return false
 		}
 		defer a.end([]eviction{a.markEvicted(v, NoConnection, now)})
 	}
-	h.index = len(a.holders)
-	a.holders = append(a.holders, h)
-	a.conns++
-	a.used += h.bytes
+	c.index = len(a.conns)
+	a.conns = append(a.conns, c)
+	a.openConns++
+	a.used += c.bytes
 	a.mu.Unlock()
 	return true
 }
 
-// An eviction is a holder that is to be ended.
+// An eviction is a connection that is to be ended.
 type eviction struct {
-	holder *Holder
-	info   Eviction
+	conn *Conn
+	info Eviction
 }
 
 // markEvicted records an eviction. The lock is held.
-func (a *Account) markEvicted(h *Holder, reason Reason, now time.Duration) eviction {
-	h.isEvicted = true
-	a.evicted += h.bytes
-	return eviction{h, Eviction{Reason: reason, Phase: h.phase, Bytes: h.bytes, Age: now - h.since}}
+func (a *Account) markEvicted(c *Conn, reason Reason, now time.Duration) eviction {
+	c.isEvicted = true
+	a.evicted += c.bytes
+	return eviction{c, Eviction{Reason: reason, Phase: c.phase, Bytes: c.bytes, Age: now - c.since}}
 }
 
 // end carries out evictions. The lock is not held.
 func (a *Account) end(evictions []eviction) {
 	for _, e := range evictions {
-		e.holder.evict(e.info.Reason)
+		e.conn.evict(e.info.Reason)
 		a.onEvict(e.info)
 	}
 }
 
-// heldSince returns the time since which a holder keeps what it holds without need, and
+// heldSince returns the time since which a connection keeps what it holds without need, and
 // whether it may be evicted. The lock is held.
-func (h *Holder) heldSince(evictsIdle bool) (time.Duration, bool) {
-	switch h.phase {
+func (c *Conn) heldSince(now time.Duration, evictsIdle bool) (time.Duration, bool) {
+	switch c.phase {
 	case PhaseNew, PhaseHead, PhaseBody, PhaseClosing:
-		return h.since, true
+		return c.since, true
 	case PhaseServing:
 		// A request that is being served is not ended, but an answer may be that its caller
 		// does not read.
-		since := h.blocked.Load()
-		return time.Duration(since), since != 0
+		since := time.Duration(c.blocked.Load())
+		return since, since != 0 && now-since >= minBlocked
 	}
-	return h.since, evictsIdle || h.wasRefused
+	return c.since, evictsIdle || c.wasRefused
 }
 
-// pickVictim returns the holder that holds the most for the longest, by the product of the
-// two, or nil if none may be evicted. self counts even if it does not wait for its caller.
-// The lock is held.
-func (a *Account) pickVictim(self *Holder, now time.Duration, evictsIdle bool) *Holder {
-	var victim *Holder
+// pickVictim returns the connection that holds the most for the longest, by the product of the
+// two, or nil if none that holds minBytes may be evicted. Of equals it is self. The lock is
+// held.
+func (a *Account) pickVictim(self *Conn, now time.Duration, evictsIdle bool, minBytes int64) *Conn {
+	var victim *Conn
 	most := 0.0
-	for _, h := range a.holders {
-		if h.isEvicted {
+	for _, c := range a.conns {
+		if c.isEvicted || c.bytes < minBytes {
 			continue
 		}
-		since, ok := h.heldSince(evictsIdle)
+		since, ok := c.heldSince(now, evictsIdle)
 		if !ok {
 			continue
 		}
-		if score := float64(h.bytes) * float64(max(now-since, time.Millisecond)); score > most || score == most && h == self {
-			victim, most = h, score
+		if score := float64(c.bytes) * float64(max(now-since, time.Millisecond)); score > most || score == most && c == self {
+			victim, most = c, score
 		}
 	}
 	return victim
 }
 
-// Grow adds n bytes to what the holder holds. It evicts others as necessary, and reports
-// false if the holder is itself evicted or there is no room, in which case nothing is added.
-func (h *Holder) Grow(n int64) bool {
-	if h == nil {
+// Grow adds n bytes to what the connection holds. It evicts others as necessary, and reports
+// false if the connection is itself evicted or there is no room, in which case nothing is added.
+func (c *Conn) Grow(n int64) bool {
+	if c == nil {
 		return true
 	}
-	a := h.account
+	a := c.account
 	limits, now := a.limits(), a.now()
 	a.mu.Lock()
-	if h.isEvicted || h.isGone {
+	if c.isEvicted || c.isGone {
 		a.mu.Unlock()
 		return false
 	}
-	h.bytes += n
+	c.bytes += n
 	a.used += n
 	var evictions []eviction
 	ok := true
-	reserve := limits.Bytes / largeReserve
-	if h.bytes <= smallRequest {
-		reserve = limits.Bytes / smallReserve
+	small, reserve := limits.Bytes/smallReserve, limits.Bytes/largeReserve
+	if c.bytes <= smallRequest {
+		reserve = limits.Bytes / evictedReserve
 	}
 	for a.used-a.evicted > limits.Bytes {
-		v := a.pickVictim(h, now, limits.EvictsIdle)
+		minBytes := int64(0)
+		isWithinReserve := a.used-a.evicted <= limits.Bytes+small
+		if isWithinReserve {
+			minBytes = smallRequest + 1
+		}
+		v := a.pickVictim(c, now, limits.EvictsIdle, minBytes)
 		if v == nil {
-			ok = h.bytes <= smallRequest
+			ok = c.bytes <= smallRequest && isWithinReserve
 			break
 		}
-		if v == h {
+		if v == c {
 			ok = false
 			break
 		}
@@ -264,10 +275,10 @@
 	}
 	ok = ok && a.used <= limits.Bytes+reserve
 	if !ok {
-		h.bytes -= n
+		c.bytes -= n
 		a.used -= n
-		if h.phase != PhaseServing { // its caller is refused
-			evictions = append(evictions, a.markEvicted(h, NoMemory, now))
+		if c.phase != PhaseServing { // its caller is refused
+			evictions = append(evictions, a.markEvicted(c, NoMemory, now))
 		}
 	}
 	a.mu.Unlock()
@@ -275,151 +286,151 @@
 	return ok
 }
 
-// Shrink removes n bytes from what the holder holds.
-func (h *Holder) Shrink(n int64) {
-	if h == nil {
+// Shrink removes n bytes from what the connection holds.
+func (c *Conn) Shrink(n int64) {
+	if c == nil {
 		return
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.shrink(n)
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.shrink(n)
 }
 
 // shrink removes bytes. The lock is held.
-func (h *Holder) shrink(n int64) {
-	if h.isGone {
+func (c *Conn) shrink(n int64) {
+	if c.isGone {
 		return
 	}
-	h.bytes -= n
-	h.account.used -= n
-	if h.isEvicted {
-		h.account.evicted -= n
+	c.bytes -= n
+	c.account.used -= n
+	if c.isEvicted {
+		c.account.evicted -= n
 	}
 }
 
 // StartHead records the first byte of a request, unless one is in progress. It reports
 // whether a head is arriving.
-func (h *Holder) StartHead() bool {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	if h.phase == PhaseNew || h.phase == PhaseIdle {
-		h.phase, h.since = PhaseHead, h.account.now()
+func (c *Conn) StartHead() bool {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.phase == PhaseNew || c.phase == PhaseIdle {
+		c.phase, c.since = PhaseHead, c.account.now()
 	}
-	return h.phase == PhaseHead
+	return c.phase == PhaseHead
 }
 
 // StartBody records that a head has arrived. It reports false if the request must be refused.
-func (h *Holder) StartBody() bool { return h.enter(PhaseBody) }
+func (c *Conn) StartBody() bool { return c.enter(PhaseBody) }
 
 // StartServing records that a request has arrived. It reports false if the request must be
 // refused.
-func (h *Holder) StartServing() bool { return h.enter(PhaseServing) }
+func (c *Conn) StartServing() bool { return c.enter(PhaseServing) }
 
-func (h *Holder) enter(phase Phase) bool {
-	if h == nil {
+func (c *Conn) enter(phase Phase) bool {
+	if c == nil {
 		return true
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	if h.isEvicted || h.phase == PhaseClosing {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.isEvicted || c.phase == PhaseClosing {
 		return false
 	}
-	if h.phase == PhaseNew || h.phase == PhaseIdle { // the head was read together with the request before
-		h.since = h.account.now()
+	if c.phase == PhaseNew || c.phase == PhaseIdle { // the head was read together with the request before
+		c.since = c.account.now()
 	}
-	h.phase, h.wasRefused = phase, false
-	h.progress.Store(int64(h.account.now()))
+	c.phase, c.wasRefused = phase, false
+	c.progress.Store(int64(c.account.now()))
 	return true
 }
 
 // StartClosing records that the caller was refused and the rest of its request is discarded.
-func (h *Holder) StartClosing() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.shrink(h.bytes - ConnCost)
-	h.phase, h.since = PhaseClosing, h.account.now()
-	h.keep() // from now on it may be closed in favour of others
+func (c *Conn) StartClosing() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.shrink(c.bytes - ConnCost)
+	c.phase, c.since = PhaseClosing, c.account.now()
+	c.keep() // from now on it may be closed in favour of others
 }
 
 // SetRefused records that the request is refused for the caller's own fault.
-func (h *Holder) SetRefused() {
-	if h == nil {
+func (c *Conn) SetRefused() {
+	if c == nil {
 		return
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.wasRefused = true
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.wasRefused = true
 }
 
 // SetIdle records that the answer to a request is complete. The request's memory is released.
-func (h *Holder) SetIdle() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.shrink(h.bytes - ConnCost)
-	h.phase, h.since = PhaseIdle, h.account.now()
+func (c *Conn) SetIdle() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.shrink(c.bytes - ConnCost)
+	c.phase, c.since = PhaseIdle, c.account.now()
 }
 
 // Close removes the connection from the account.
-func (h *Holder) Close() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	if h.isGone {
+func (c *Conn) Close() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.isGone {
 		return
 	}
-	h.shrink(h.bytes)
-	h.disconnect()
-	h.isGone = true
-	h.account.remove(h)
+	c.shrink(c.bytes)
+	c.disconnect()
+	c.isGone = true
+	c.account.remove(c)
 }
 
-// remove removes a holder from the list. The lock is held.
-func (a *Account) remove(h *Holder) {
-	last := len(a.holders) - 1
-	a.holders[h.index] = a.holders[last]
-	a.holders[h.index].index = h.index
-	a.holders[last] = nil
-	a.holders = a.holders[:last]
+// remove removes a connection from the list. The lock is held.
+func (a *Account) remove(c *Conn) {
+	last := len(a.conns) - 1
+	a.conns[c.index] = a.conns[last]
+	a.conns[c.index].index = c.index
+	a.conns[last] = nil
+	a.conns = a.conns[:last]
 }
 
 // Disconnect records that the connection is closed, while its request may still hold memory.
-func (h *Holder) Disconnect() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.disconnect()
+func (c *Conn) Disconnect() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.disconnect()
 }
 
 // disconnect records that the connection is closed. The lock is held.
-func (h *Holder) disconnect() {
-	if !h.isDisconnected {
-		h.isDisconnected = true
-		h.account.conns--
+func (c *Conn) disconnect() {
+	if !c.isDisconnected {
+		c.isDisconnected = true
+		c.account.openConns--
 	}
 }
 
 // Phase returns the connection's phase and whether it was evicted.
-func (h *Holder) Phase() (phase Phase, isEvicted bool) {
-	if h == nil {
+func (c *Conn) Phase() (phase Phase, isEvicted bool) {
+	if c == nil {
 		return PhaseServing, false
 	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	return h.phase, h.isEvicted
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	return c.phase, c.isEvicted
 }
 
 // Progress records that a byte of a body has arrived.
-func (h *Holder) Progress() { h.progress.Store(int64(h.account.now())) }
+func (c *Conn) Progress() { c.progress.Store(int64(c.account.now())) }
 
 // SetBlocked records whether a write waits for the caller to read.
-func (h *Holder) SetBlocked(isBlocked bool) {
+func (c *Conn) SetBlocked(isBlocked bool) {
 	since := int64(0)
 	if isBlocked {
-		since = max(1, int64(h.account.now()))
+		since = max(1, int64(c.account.now()))
 	}
-	h.blocked.Store(since)
+	c.blocked.Store(since)
 }
 
-// Limits returns the current limits of the holder's account.
-func (h *Holder) Limits() Limits { return h.account.limits() }
+// Limits returns the current limits of the connection's account.
+func (c *Conn) Limits() Limits { return c.account.limits() }
 
 // maxSweepGap is the longest time between two calls of Sweep that counts. In a longer one the
 // process did not run, and what callers sent meanwhile is not read yet.
@@ -436,9 +447,9 @@
 		a.postpone(gap)
 	}
 	a.sweptAt = now
-	for _, h := range a.holders {
-		if !h.isEvicted && h.isOverdue(now, limits) {
-			evictions = append(evictions, a.markEvicted(h, TimedOut, now))
+	for _, c := range a.conns {
+		if !c.isEvicted && c.isOverdue(now, limits) {
+			evictions = append(evictions, a.markEvicted(c, TimedOut, now))
 		}
 	}
 	a.mu.Unlock()
@@ -447,12 +458,12 @@
 
 // postpone extends the times of all connections by d. The lock is held.
 func (a *Account) postpone(d time.Duration) {
-	for _, h := range a.holders {
-		h.since += d
-		h.progress.Add(int64(d))
-		if blocked := h.blocked.Load(); blocked != 0 {
+	for _, c := range a.conns {
+		c.since += d
+		c.progress.Add(int64(d))
+		if blocked := c.blocked.Load(); blocked != 0 {
 			// A write that ends meanwhile has set it to 0.
-			h.blocked.CompareAndSwap(blocked, blocked+int64(d))
+			c.blocked.CompareAndSwap(blocked, blocked+int64(d))
 		}
 	}
 }
@@ -462,18 +473,18 @@
 const idleMargin = time.Second
 
 // isOverdue reports whether a connection's time is over. The lock is held.
-func (h *Holder) isOverdue(now time.Duration, limits Limits) bool {
-	switch h.phase {
+func (c *Conn) isOverdue(now time.Duration, limits Limits) bool {
+	switch c.phase {
 	case PhaseNew, PhaseIdle:
-		return now-h.since > limits.IdleTimeout+idleMargin
+		return now-c.since > limits.IdleTimeout+idleMargin
 	case PhaseHead:
-		return now-h.since > limits.HeaderTimeout
+		return now-c.since > limits.HeaderTimeout
 	case PhaseBody:
-		return now-time.Duration(h.progress.Load()) > limits.IdleTimeout
+		return now-time.Duration(c.progress.Load()) > limits.IdleTimeout
 	case PhaseClosing:
-		return now-h.since > limits.LingerTimeout
+		return now-c.since > limits.LingerTimeout
 	}
-	blocked := h.blocked.Load()
+	blocked := c.blocked.Load()
 	return blocked != 0 && now-time.Duration(blocked) > limits.IdleTimeout
 }
 
@@ -481,34 +492,34 @@
 func (a *Account) Usage() (bytes int64, conns int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.used, a.conns
+	return a.used, a.openConns
 }
 
 // Keep takes back an eviction, for a connection on which a request had begun to arrive when it
 // was to be closed as idle.
-func (h *Holder) Keep() {
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.keep()
+func (c *Conn) Keep() {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.keep()
 }
 
 // keep takes back an eviction. The lock is held.
-func (h *Holder) keep() {
-	if h.isEvicted && !h.isGone {
-		h.isEvicted = false
-		h.account.evicted -= h.bytes
+func (c *Conn) keep() {
+	if c.isEvicted && !c.isGone {
+		c.isEvicted = false
+		c.account.evicted -= c.bytes
 	}
 }
 
 type contextKey struct{}
 
-// NewContext returns a context that carries h.
-func NewContext(ctx context.Context, h *Holder) context.Context {
-	return context.WithValue(ctx, contextKey{}, h)
+// NewContext returns a context that carries c.
+func NewContext(ctx context.Context, c *Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// FromContext returns the holder that ctx carries, or nil.
-func FromContext(ctx context.Context) *Holder {
-	h, _ := ctx.Value(contextKey{}).(*Holder)
-	return h
+// FromContext returns the connection that ctx carries, or nil.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
 }
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -35,9 +35,9 @@
 }
 
 // read returns the whole body. If r fails, it returns what was read and the error. The memory
-// is charged to holder until its request ends, as the caller may not read the answer; read
+// is charged to held until its request ends, as the caller may not read the answer; read
 // waits for it until ctx ends, because the call may have run.
-func (b *bodyReader) read(ctx context.Context, r io.Reader, holder *budget.Holder) ([]byte, error) {
+func (b *bodyReader) read(ctx context.Context, r io.Reader, held *budget.Conn) ([]byte, error) {
 	var allocated int64
 	defer func() { b.allocated.Add(-allocated) }()
 	var buf []byte
@@ -46,20 +46,20 @@
 			old := int64(cap(buf))
 			size := max(initialBufferBytes, 2*old)
 			if size > 2*maxBodyBytes {
-				holder.Shrink(old)
+				held.Shrink(old)
 				return nil, errBodyTooLong
 			}
-			if !waitForMemory(ctx, holder, size) {
-				holder.Shrink(old)
+			if !waitForMemory(ctx, held, size) {
+				held.Shrink(old)
 				return nil, errNoMemory
 			}
 			allocated += size
 			if b.allocated.Add(size) > maxTotalBodyBytes {
-				holder.Shrink(old + size)
+				held.Shrink(old + size)
 				return nil, errTotalTooLarge
 			}
 			buf = append(make([]byte, 0, size), buf...)
-			holder.Shrink(old)
+			held.Shrink(old)
 			allocated -= old
 			b.allocated.Add(-old)
 		}
@@ -67,7 +67,7 @@
 		buf = buf[:len(buf)+n]
 		switch {
 		case len(buf) > maxBodyBytes:
-			holder.Shrink(int64(cap(buf)))
+			held.Shrink(int64(cap(buf)))
 			return nil, errBodyTooLong
 		case err == io.EOF:
 			return buf, nil
@@ -80,10 +80,10 @@
 // memoryPoll is the interval at which a call whose answer finds no memory tries again.
 const memoryPoll = 20 * time.Millisecond
 
-// waitForMemory charges n bytes to holder once there is room. It reports false if ctx ends
+// waitForMemory charges n bytes to held once there is room. It reports false if ctx ends
 // before.
-func waitForMemory(ctx context.Context, holder *budget.Holder, n int64) bool {
-	for !holder.Grow(n) {
+func waitForMemory(ctx context.Context, held *budget.Conn, n int64) bool {
+	for !held.Grow(n) {
 		if !pause.For(ctx, memoryPoll) {
 			return false
 		}
--- a/internal/idle/held.go
+++ b/internal/idle/held.go
@@ -64,23 +64,23 @@
 
 // open adds the connection to an account, and reports whether there is room.
 func (c *conn) open(account *budget.Account) bool {
-	c.holder = account.NewHolder(c.evict)
-	return c.holder.Open()
+	c.held = account.NewConn(c.evict)
+	return c.held.Open()
 }
 
 // evict ends the connection or makes its reader refuse the request. Where connections are
 // short it is closed at once: one that is refused stays open until its caller has the answer.
 func (c *conn) evict(reason budget.Reason) {
-	phase, _ := c.holder.Phase()
+	phase, _ := c.held.Phase()
 	switch {
 	case phase == budget.PhaseIdle, phase == budget.PhaseNew && reason == budget.TimedOut:
 		if !c.closeIfIdle() {
-			c.holder.Keep()
+			c.held.Keep()
 		}
 	case reason != budget.NoConnection && (phase == budget.PhaseHead || phase == budget.PhaseBody):
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 	default:
-		c.holder.Disconnect()
+		c.held.Disconnect()
 		_ = c.Conn.Close() // the caller may have closed it
 	}
 }
@@ -94,26 +94,26 @@
 		if !c.listener.isHTTP {
 			if !c.head.isText { // the first byte
 				c.head.isText = true
-				c.holder.StartServing()
+				c.held.StartServing()
 			}
 			return nil
 		}
-		if !c.holder.StartHead() {
-			c.holder.Progress()
+		if !c.held.StartHead() {
+			c.held.Progress()
 			return nil
 		}
 		n, lines := c.head.add(p)
 		switch {
 		case n == 0: // after the head
-		case c.head.bytes > c.holder.Limits().MaxHeader:
+		case c.head.bytes > c.held.Limits().MaxHeader:
 			return c.refuse(http.StatusRequestHeaderFieldsTooLarge)
-		case !c.holder.Grow(budget.HeadCost(n, lines)):
+		case !c.held.Grow(budget.HeadCost(n, lines)):
 			return c.refuse(http.StatusServiceUnavailable)
 		}
 		return nil
 	}
 	// A head that has arrived whole is refused by the handler.
-	if phase, isEvicted := c.holder.Phase(); readErr != nil && isEvicted && phase == budget.PhaseHead && !c.head.isWhole {
+	if phase, isEvicted := c.held.Phase(); readErr != nil && isEvicted && phase == budget.PhaseHead && !c.head.isWhole {
 		return c.refuse(http.StatusServiceUnavailable)
 	}
 	return nil
@@ -135,15 +135,15 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.holder == nil || !c.listener.isHTTP {
+	if c.held == nil || !c.listener.isHTTP {
 		return c.Conn.Write(p)
 	}
 	written := 0
 	for {
 		piece := p[written:min(len(p), written+writePiece)]
-		c.holder.SetBlocked(true)
+		c.held.SetBlocked(true)
 		n, err := c.Conn.Write(piece)
-		c.holder.SetBlocked(false)
+		c.held.SetBlocked(false)
 		written += n
 		if err != nil || written == len(p) {
 			return written, err
@@ -158,12 +158,12 @@
 // background, if its request has not arrived whole: a connection that is closed with unread
 // bytes is reset, and the caller may lose the answer. It reports false if there is no need.
 func (c *conn) linger() bool {
-	phase, _ := c.holder.Phase()
+	phase, _ := c.held.Phase()
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok || phase != budget.PhaseHead && phase != budget.PhaseBody || tcp.CloseWrite() != nil {
 		return false
 	}
-	c.holder.StartClosing()
+	c.held.StartClosing()
 	// The account ends the connection when its time is over.
 	_ = tcp.SetReadDeadline(time.Time{})
 	go func() {
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -114,9 +114,9 @@
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.setBusy(false)
-		if c.holder != nil {
+		if c.held != nil {
 			c.head = head{}
-			c.holder.SetIdle()
+			c.held.SetIdle()
 		}
 	}
 }
@@ -124,8 +124,8 @@
 // ConnContext adds the account of a connection to the context of its requests. It must be set
 // as the ConnContext hook of the http.Server.
 func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*conn); ok && c.holder != nil {
-		return budget.NewContext(ctx, c.holder)
+	if c, ok := nc.(*conn); ok && c.held != nil {
+		return budget.NewContext(ctx, c.held)
 	}
 	return ctx
 }
@@ -152,8 +152,8 @@
 type conn struct {
 	net.Conn
 	listener *Listener
-	holder   *budget.Holder // nil if the listener has no account
-	head     head           // of the request that is arriving; used by the server's goroutine only
+	held     *budget.Conn // nil if the listener has no account
+	head     head         // of the request that is arriving; used by the server's goroutine only
 	// isRefused is set once a refusal was written here instead of by the server.
 	isRefused bool
 
@@ -170,7 +170,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
-	if c.holder != nil {
+	if c.held != nil {
 		if refusal := c.count(p[:n], err); refusal != nil {
 			return 0, refusal
 		}
@@ -194,7 +194,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if c.holder != nil && c.linger() {
+	if c.held != nil && c.linger() {
 		return nil
 	}
 	return c.closeNow()
@@ -205,8 +205,8 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
-	if c.holder != nil {
-		c.holder.Close()
+	if c.held != nil {
+		c.held.Close()
 	}
 	return c.Conn.Close()
 }
