--- a/internal/idle/held.go
+++ b/internal/idle/held.go
@@ -135,7 +135,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.held == nil || !c.listener.isHTTP {
+	if !c.listener.isHTTP {
 		return c.Conn.Write(p)
 	}
 	written := 0
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -26,7 +26,7 @@
 // A Listener tracks the connections that it accepted.
 type Listener struct {
 	net.Listener
-	account *budget.Account // nil if what connections hold is not counted
+	account *budget.Account
 	// isHTTP is set if the connections carry HTTP requests. Others count as new until their
 	// first byte, and as busy from then on.
 	isHTTP bool
@@ -35,11 +35,6 @@
 	conns map[*conn]bool
 }
 
-// Wrap returns a listener that accepts from ln.
-func Wrap(ln net.Listener) *Listener {
-	return &Listener{Listener: ln, conns: make(map[*conn]bool)}
-}
-
 // WrapHTTP returns a listener for an http.Server, whose connections are counted and bounded
 // by account. ConnState and ConnContext must be set as hooks of the server, and the server
 // must have no timeouts of its own.
@@ -63,7 +58,7 @@
 		l.mu.Lock()
 		l.conns[c] = true
 		l.mu.Unlock()
-		if l.account == nil || c.open(l.account) {
+		if c.open(l.account) {
 			return c, nil
 		}
 		_ = c.closeNow() // the caller may have closed it
@@ -114,17 +109,15 @@
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.setBusy(false)
-		if c.held != nil {
-			c.head = head{}
-			c.held.SetIdle()
-		}
+		c.head = head{}
+		c.held.SetIdle()
 	}
 }
 
 // ConnContext adds the account of a connection to the context of its requests. It must be set
 // as the ConnContext hook of the http.Server.
 func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	if c, ok := nc.(*conn); ok && c.held != nil {
+	if c, ok := nc.(*conn); ok {
 		return budget.NewContext(ctx, c.held)
 	}
 	return ctx
@@ -152,8 +145,8 @@
 type conn struct {
 	net.Conn
 	listener *Listener
-	held     *budget.Conn // nil if the listener has no account
-	head     head         // of the request that is arriving; used by the server's goroutine only
+	held     *budget.Conn
+	head     head // of the request that is arriving; used by the server's goroutine only
 	// isRefused is set once a refusal was written here instead of by the server.
 	isRefused bool
 
@@ -170,10 +163,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
-	if c.held != nil {
-		if refusal := c.count(p[:n], err); refusal != nil {
-			return 0, refusal
-		}
+	if refusal := c.count(p[:n], err); refusal != nil {
+		return 0, refusal
 	}
 	return n, err
 }
@@ -194,7 +185,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if c.held != nil && c.linger() {
+	if c.linger() {
 		return nil
 	}
 	return c.closeNow()
@@ -205,9 +196,7 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
-	if c.held != nil {
-		c.held.Close()
-	}
+	c.held.Close()
 	return c.Conn.Close()
 }
 
--- a/internal/idle/listener_test.go
+++ b/internal/idle/listener_test.go
@@ -11,16 +11,24 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/idle"
 )
 
+// wrap returns a listener with an account without practical limits.
+func wrap(ln net.Listener) *idle.Listener {
+	limits := budget.Limits{Bytes: 1 << 30, Conns: 1000, MaxHeader: 1 << 20, HeaderTimeout: time.Hour, IdleTimeout: time.Hour, LingerTimeout: time.Hour}
+	return idle.WrapHTTP(ln, budget.New(plank.SystemClock{}, func() budget.Limits { return limits }, func(budget.Eviction) {}))
+}
+
 // acceptOne returns a wrapped listener and both ends of a connection that it
 // accepted.
 func acceptOne(t *testing.T) (*idle.Listener, net.Conn, net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := idle.Wrap(ln)
+	l := wrap(ln)
 	t.Cleanup(func() { l.Close() })
 	client, err := net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
@@ -85,7 +93,7 @@
 func TestCloseResetsWaitingConnections(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := idle.Wrap(ln)
+	l := wrap(ln)
 	client, err := net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
 	defer client.Close()
@@ -110,7 +118,7 @@
 func TestCloseIdleClosesKeepAliveConnections(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := idle.Wrap(ln)
+	l := wrap(ln)
 	s := &http.Server{
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }),
 		ConnState: l.ConnState,
