--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -5,6 +5,7 @@
 package idle
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"knapweedplank.org/plank/internal/budget"
 )
 
 // Closing a listener resets the connections that it has not accepted, so Close first waits
@@ -24,27 +26,43 @@
 // A Listener tracks the connections that it accepted.
 type Listener struct {
 	net.Listener
+	account *budget.Account
+	// isHTTP is set if the connections carry HTTP requests. Others count as new until their
+	// first byte, and as busy from then on.
+	isHTTP bool
 
 	mu    sync.Mutex
 	conns map[*conn]bool
 }
 
-// Wrap returns a listener that accepts from ln.
-func Wrap(ln net.Listener) *Listener {
-	return &Listener{Listener: ln, conns: make(map[*conn]bool)}
+// WrapHTTP returns a listener for an http.Server, whose connections are counted and bounded
+// by account. ConnState and ConnContext must be set as hooks of the server, and the server
+// must have no timeouts of its own.
+func WrapHTTP(ln net.Listener, account *budget.Account) *Listener {
+	return &Listener{Listener: ln, account: account, isHTTP: true, conns: make(map[*conn]bool)}
+}
+
+// WrapOther returns a listener for another protocol, whose connections are bounded by account.
+func WrapOther(ln net.Listener, account *budget.Account) *Listener {
+	return &Listener{Listener: ln, account: account, conns: make(map[*conn]bool)}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, listener: l}
+		l.mu.Lock()
+		l.conns[c] = true
+		l.mu.Unlock()
+		if c.open(l.account) {
+			return c, nil
+		}
+		_ = c.closeNow() // the caller may have closed it
 	}
-	c := &conn{Conn: nc, listener: l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = true
-	return c, nil
 }
 
 // Close implements net.Listener. Connections that were waiting to be accepted are served.
@@ -91,7 +109,18 @@
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.setBusy(false)
+		c.head = head{}
+		c.held.SetIdle()
+	}
+}
+
+// ConnContext adds the account of a connection to the context of its requests. It must be set
+// as the ConnContext hook of the http.Server.
+func (l *Listener) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok {
+		return budget.NewContext(ctx, c.held)
 	}
+	return ctx
 }
 
 // CloseIdle closes the connections on which no byte of a request has arrived since
@@ -116,6 +145,10 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	held     *budget.Conn
+	head     head // of the request that is arriving; used by the server's goroutine only
+	// isRefused is set once a refusal was written here instead of by the server.
+	isRefused bool
 
 	mu sync.Mutex
 	// busy is set from the first byte of a request until its response is
@@ -129,6 +162,15 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if refusal := c.count(p[:n], err); refusal != nil {
+		return 0, refusal
+	}
+	return n, err
+}
+
+// read reads and marks the connection as busy.
+func (c *conn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,9 +185,18 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.linger() {
+		return nil
+	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection without waiting for what the caller still sends.
+func (c *conn) closeNow() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.held.Close()
 	return c.Conn.Close()
 }
 
@@ -165,7 +216,7 @@
 	c.closedIdle = c.closedIdle || idle
 	c.mu.Unlock()
 	if idle {
-		c.Close()
+		_ = c.closeNow() // the caller may have closed it
 	}
 	return idle
 }
