--- a/internal/cold/table.go
+++ b/internal/cold/table.go
@@ -30,6 +30,15 @@
 	retention = MaxLeft
 )
 
+// ParseLeft returns the remaining time that a message states in milliseconds, and whether it is
+// valid.
+func ParseLeft(millis int64) (left time.Duration, ok bool) {
+	if millis < 0 || millis > MaxLeft.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
 // A Source is where a statement was received from.
 type Source int
 
--- a/internal/front/cold.go
+++ b/internal/front/cold.go
@@ -63,8 +63,7 @@
 
 // handleColdNote records what a peer was told by an engine of this holder.
 func (b *Broker) handleColdNote(inst plank.Instance, n *wire.ReserveNote) {
-	left := time.Duration(n.ColdMillis) * time.Millisecond
-	if n.StatesCold && left >= 0 && left <= cold.MaxLeft {
+	if left, ok := cold.ParseLeft(n.ColdMillis); n.StatesCold && ok {
 		b.Chooser.Cold.Record(inst, b.Clock.Now().Add(left), cold.Peer, true)
 	}
 }
--- a/internal/front/cold_test.go
+++ b/internal/front/cold_test.go
@@ -12,6 +12,7 @@
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/cold"
 	"knapweedplank.org/plank/internal/front"
+	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/health"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/peer"
@@ -83,3 +84,16 @@
 	assert.Assert(t, h.call("ask").refusal != nil)
 	assert.Equal(t, len(h.sent), 1)
 }
+
+// Guards against a holder that grants at the warm rate although calls of other VMs have shown
+// that the engine is cold.
+func TestNotesTellTheHolderThatAnEngineIsCold(t *testing.T) {
+	table := cold.NewTable(fixedClock{}, coldServices)
+	b := &front.Broker{Chooser: &front.Chooser{Health: health.New(fixedClock{}), Cold: table}, Clock: fixedClock{}}
+	e := instance("e", modelService)
+	isCold := func(millis int64) bool {
+		front.HandleNote(b, &grant.Reservation{Instance: e}, &wire.ReserveNote{StatesCold: true, ColdMillis: millis})
+		return !table.Until(e).IsZero()
+	}
+	assert.Assert(t, !isCold(-1) && !isCold(1<<60) && isCold(3000))
+}
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -95,8 +95,8 @@
 	for _, x := range endpoints {
 		run := plank.Run{Endpoint: plank.EndpointID(x.Endpoint), Born: x.Born}
 		inst, ok := s.view.Load().Instances[run.Endpoint]
-		left := time.Duration(x.LeftMillis) * time.Millisecond
-		if !ok || inst.Run() != run || left < 0 || left > cold.MaxLeft {
+		left, valid := cold.ParseLeft(x.LeftMillis)
+		if !ok || inst.Run() != run || !valid {
 			continue
 		}
 		until := s.clock.Now().Add(left - age)
