--- a/internal/pick/gaps.go
+++ b/internal/pick/gaps.go
@@ -68,8 +68,8 @@
 
 // harm returns how many streams on the engine the call's prompt is likely to make late that
 // would not be late without it. Where prompts follow one another, few would not; without this,
-// 0.49 instead of 0.51 of the calls are on time when all engines are used by both kinds, of 0.53
-// without the decision.
+// 0.437 instead of 0.498 of the calls of the replay are on time when all engines are used by both
+// kinds.
 func (e *Engine) harm(c Call) float64 {
 	if e.StrictGaps <= 0 {
 		return 0
