--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,8 +1,8 @@
 // Package pace learns how long work takes on each endpoint, relative to the usual time. It
 // performs no I/O.
 //
-// It is designed for fleets whose endpoints differ: on one, a quarter of 140 engines work at
-// 0.55 times the usual speed and the others at 1.2, and neighbours on their machines make 15% of
+// It is designed for fleets whose endpoints differ: on one, a quarter of 140 engines take 0.55
+// times the usual time and the others 1.2 times, and neighbours on their machines make 15% of
 // them 2.5 times as slow for some 600 ms at a time.
 package pace
 
