--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -159,6 +159,45 @@
 	assert.Assert(t, !isEvicted)
 }
 
+// Guards against an order by size or by time alone: a caller on a slow link is older than a crowd,
+// and a large body that has just arrived is not held yet.
+func TestCallerThatHoldsTheMostForTheLongestGoes(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		bytes          int64
+		age            time.Duration
+		otherBytes     int64
+		otherAge       time.Duration
+		isFirstEvicted bool
+	}{
+		{"small and old, large and new", 200 << 10, 2 * time.Second, 36 * mib, 500 * time.Millisecond, false},
+		{"held for long, larger and new", 16 * mib, 2 * time.Second, 20 * mib, 20 * time.Millisecond, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := newTestAccount(t)
+			begin := func(bytes int64) *Conn {
+				c := a.open()
+				c.StartHead()
+				c.StartBody()
+				assert.Assert(t, c.Grow(bytes))
+				return c
+			}
+			first := begin(test.bytes)
+			a.clock.now = a.clock.now.Add(test.age - test.otherAge)
+			other := begin(test.otherBytes)
+			a.clock.now = a.clock.now.Add(test.otherAge)
+			c := a.open()
+			c.StartHead()
+			c.StartBody()
+			c.Grow(a.limits.Bytes - test.bytes - test.otherBytes)
+			_, isFirst := first.Phase()
+			_, isOther := other.Phase()
+			assert.Equal(t, isFirst, test.isFirstEvicted)
+			assert.Equal(t, isOther, !test.isFirstEvicted)
+		})
+	}
+}
+
 // Guards against ordinary callers that are cut off for large requests which cannot be ended: on a
 // VM full of requests that are being served, an ordinary request that was just arriving, or whose
 // answer was just being written, was the only one that could be ended.
