--- a/internal/grant/coldload_test.go
+++ b/internal/grant/coldload_test.go
@@ -161,3 +161,22 @@
 		})
 	}
 }
+
+// Guards against a limit that is lowered because checks of loads get no response: such loads
+// seemed to take up to twice as long as they did.
+func TestLoadsWhoseChecksAreLostAreNoSamples(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		h := newHarness(limits)
+		h.reserve(1, 0)
+		h.advance(200 * time.Millisecond)
+		h.fate = func() (bool, bool) { return lost && h.now.Sub(start) < 270*time.Millisecond, false }
+		took := time.Duration(0)
+		for range 60 {
+			h.advance(5 * time.Millisecond)
+			took = max(took, h.engine.ColdLoadTook())
+		}
+		_, resident := h.resident[adapter(1)]
+		assert.Assert(t, resident)
+		assert.Equal(t, took == 0, lost, "%v", took)
+	}
+}
--- a/internal/grant/export_test.go
+++ b/internal/grant/export_test.go
@@ -131,3 +131,6 @@
 func (e *Engine) FailStatus(now time.Time) {
 	e.handleStatus(plank.EngineStatus{}, errors.New("no answer"), now)
 }
+
+// ColdLoadTook returns how long the cold load took whose end the last order's response reported.
+func (e *Engine) ColdLoadTook() time.Duration { return e.coldLoadTook }
