Fixes of the review of the merged parts

- budget: a refused connection changed the account of others, and could end the process; a connection that a planned stop closed while it was accepted had no account yet.
- front: a call that the evacuation gate stopped, or whose answer found no memory here, says nothing of its endpoint or engine.
- grant: calls for a cold engine move to others although their adapter is resident there; a call that was only late to begin has not failed.
- pace: one late first event counts as three times the usual at most.
- limit: a limit that is removed while a call waits for its turn admits it.
- cold: bounds below one request a second count as one.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -133,7 +133,7 @@
 	index  int   // in account.conns
 	bytes  int64 // at least ConnCost
 	since  time.Duration
-	isGone bool // closed, and no longer in the account
+	isGone bool // not opened, or closed: not in the account
 	// isDisconnected is set when the connection is closed, from when on it holds no descriptor.
 	isDisconnected bool
 	// isEvicted is set from an eviction until the connection is closed.
@@ -149,7 +149,7 @@
 // NewConn returns the account of a connection. evict ends the connection; it must not block,
 // and may be called at any time from Open until Close.
 func (a *Account) NewConn(evict func(Reason)) *Conn {
-	return &Conn{account: a, evict: evict, bytes: ConnCost}
+	return &Conn{account: a, evict: evict, bytes: ConnCost, isGone: true}
 }
 
 // now returns the time since the account was created.
@@ -170,7 +170,7 @@
 		}
 		defer a.end([]eviction{a.markEvicted(v, NoConnection, now)})
 	}
-	c.index = len(a.conns)
+	c.index, c.isGone = len(a.conns), false
 	a.conns = append(a.conns, c)
 	a.openConns++
 	a.used += c.bytes
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -429,3 +429,30 @@
 		open()
 	}
 }
+
+// Guards against a refused connection that takes another one out of the account: each refusal
+// once freed a place that was not free, and a later close ended the process.
+func TestRefusedConnectionChangesNothing(t *testing.T) {
+	a := New(&testClock{}, func() Limits { return Limits{Bytes: 1 << 20, Conns: 2} }, func(Eviction) {})
+	var open []*Conn
+	for range 2 {
+		c := a.NewConn(func(Reason) {})
+		assert.Assert(t, c.Open())
+		assert.Assert(t, c.StartHead() && c.StartBody() && c.StartServing())
+		open = append(open, c)
+	}
+	for range 5 {
+		c := a.NewConn(func(Reason) {})
+		assert.Assert(t, !c.Open())
+		c.Shrink(10)
+		c.Close()
+	}
+	bytes, conns := a.Usage()
+	assert.Equal(t, conns, 2)
+	assert.Equal(t, bytes, int64(2*ConnCost))
+	for _, c := range open {
+		c.Close()
+	}
+	bytes, conns = a.Usage()
+	assert.Assert(t, bytes == 0 && conns == 0, "%d bytes, %d connections", bytes, conns)
+}
--- a/internal/cold/pacer.go
+++ b/internal/cold/pacer.go
@@ -33,7 +33,7 @@
 // PerSecond returns the number of requests that a cold endpoint tolerates in any second.
 func (b Bound) PerSecond(rate float64) int {
 	b = b.orDefault()
-	return int(math.Floor(rate*b.Overage + b.Slack))
+	return max(1, int(math.Floor(rate*b.Overage+b.Slack)))
 }
 
 // perHolder returns the number of grants of one holder in any second.
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -373,9 +373,9 @@
 	switch {
 	case a.result == rejected && a.reply.Status == 421:
 		res.MarkAdapterMissing()
-	case a.result == unsent:
+	case a.result == unsent && !isOutOfService(a.err):
 		res.MarkFailed(false)
-	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx):
+	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx) && !errors.Is(a.err, errNoMemory):
 		res.MarkFailed(true)
 	}
 	a.healthRecorded = stalled.Load() || isStopping(ctx) || errors.Is(a.err, errNoMemory)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -250,9 +250,11 @@
 	case abandoned:
 		return
 	case unsent:
-		s.deps.Health.RecordUnreachable(a.inst.ID)
-		s.recordRefused(j, a)
-		log = log.WithField("avoided", true)
+		if !isOutOfService(a.err) {
+			s.deps.Health.RecordUnreachable(a.inst.ID)
+			s.recordRefused(j, a)
+			log = log.WithField("avoided", true)
+		}
 	case rejected:
 		s.deps.Health.RecordRefusal(a.inst.ID)
 		log = log.WithField("status", a.reply.Status)
--- a/internal/grant/engine.go
+++ b/internal/grant/engine.go
@@ -286,6 +286,7 @@
 // which ends its prefill.
 func (e *Engine) markStarted(res *reservation, now time.Time) {
 	if e.running[res] && !res.started {
+		res.failed = false // it was only late
 		e.startOutput(res, now)
 		e.endPrefill(res)
 		e.beginParts(res)
--- a/internal/grant/move.go
+++ b/internal/grant/move.go
@@ -29,7 +29,8 @@
 	planned := make(map[plank.AdapterRef]bool) // adapters whose new versions get a move
 	for _, e := range engines {
 		for _, res := range e.movable(now) {
-			isNewVersion := e.slots[res.Adapter] != nil
+			// Calls for a cold engine move although their adapter is resident there.
+			isNewVersion := e.slots[res.Adapter] != nil && !e.isCold()
 			if isNewVersion && (planned[res.Adapter] || isAwaitedElsewhere(engines, e, res.Adapter)) {
 				continue // it can move once the new version is resident there
 			}
--- a/internal/idle/held_test.go
+++ b/internal/idle/held_test.go
@@ -171,7 +171,7 @@
 // Guards against pipelined requests that are lost, or whose memory stays charged.
 func TestPipelinedRequests(t *testing.T) {
 	served := 0
-	s := newTestServer(t, func(w http.ResponseWriter, r *http.Request) {
+	s := newTestServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		h := budget.FromContext(r.Context())
 		assert.Check(t, h.StartBody())
 		_, err := io.ReadAll(r.Body)
@@ -205,7 +205,7 @@
 // Guards against a planned stop that cuts a refused caller off, or that waits for one without
 // end.
 func TestStopWaitsForRefusedCallers(t *testing.T) {
-	s := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {})
+	s := newTestServer(t, func(_ http.ResponseWriter, _ *http.Request) {})
 	conn := s.dial(t)
 	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nX-Long: "+strings.Repeat("x", 20<<10))
 	assert.NilError(t, err)
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -55,13 +55,14 @@
 			return nil, err
 		}
 		c := &conn{Conn: nc, listener: l}
+		if !c.open(l.account) {
+			_ = nc.Close() // the caller may have closed it
+			continue
+		}
 		l.mu.Lock()
 		l.conns[c] = true
 		l.mu.Unlock()
-		if c.open(l.account) {
-			return c, nil
-		}
-		_ = c.closeNow() // the caller may have closed it
+		return c, nil
 	}
 }
 
--- a/internal/limit/contention.go
+++ b/internal/limit/contention.go
@@ -245,6 +245,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e, now := g.entries[ws], g.clock.Now()
+	if e.rate <= 0 { // the limit has been removed meanwhile
+		return Decision{Admitted: true}
+	}
 	g.refill(e, now)
 	return g.admitContended(e, t, now)
 }
--- a/internal/limit/gossip_limiter.go
+++ b/internal/limit/gossip_limiter.go
@@ -254,7 +254,7 @@
 // several times the limit together. A workspace with a high level is not paced, so
 // that its calls may arrive at any VM. The lock is held.
 func (g *GossipLimiter) pacingDelay(e *workspaceState, cost float64) time.Duration {
-	if g.messageInterval < slowMessageInterval || e.burst <= 0 {
+	if g.messageInterval < slowMessageInterval || e.burst <= 0 || e.rate <= 0 {
 		return 0
 	}
 	paced := min(1, (unpacedFill-e.level/e.burst)/(unpacedFill-fullyPacedFill))
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -21,6 +21,9 @@
 	// by its failures.
 	minPace = 0.05
 	maxPace = 20.0
+	// maxBoundPace bounds what one answer shows of the pace if it may hold other delays, such
+	// as a pause of the process that received it.
+	maxBoundPace = 3.0
 	// statedHalfLife is the half-life of the difference between a stated figure and what is
 	// learned: three quarters of it are gone after half a second, since a spell of slowness
 	// lasts some 600 ms.
@@ -170,7 +173,11 @@
 	if !t.IsLearned(service) || took <= 0 || usual <= 0 {
 		return
 	}
-	p := math.Log(min(maxPace, max(minPace, float64(took)/float64(usual))))
+	most := maxPace
+	if b == AtLeast {
+		most = maxBoundPace
+	}
+	p := math.Log(min(most, max(minPace, float64(took)/float64(usual))))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
