--- a/internal/grant/pace.go
+++ b/internal/grant/pace.go
@@ -106,7 +106,7 @@
 }
 
 // publishPaces marks the engines whose paces have changed since they were published. A state
-// that tells of a spell of slowness would otherwise keep calls away after its end.
+// that tells of a slow period would otherwise keep calls away after its end.
 func (s *Scheduler) publishPaces(now time.Time) {
 	if now.Before(s.nextPacesAt) {
 		return
--- a/internal/node/paces.go
+++ b/internal/node/paces.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// paceTellInterval is the shortest time between two statements of one endpoint that are told to
+// paceShareInterval is the shortest time between two statements of one endpoint that are sent to
 // other VMs.
-const paceTellInterval = time.Second
+const paceShareInterval = time.Second
 
 // A paceChange is the pace that an endpoint of a plain service stated, with the number of its
 // last change.
@@ -52,7 +52,7 @@
 func (s *state) setPace(run plank.Run, stated float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !pace.IsValid(stated) || now.Sub(s.paces[run].at) < paceTellInterval {
+	if !pace.IsValid(stated) || now.Sub(s.paces[run].at) < paceShareInterval {
 		return
 	}
 	if s.paces == nil {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -25,7 +25,7 @@
 	// as a pause of the process that received it.
 	maxBoundPace = 3.0
 	// statedHalfLife is the half-life of the difference between a stated figure and what is
-	// learned: three quarters of it are gone after half a second, since a spell of slowness
+	// learned: three quarters of it are gone after half a second, since a slow period
 	// lasts some 600 ms.
 	statedHalfLife = 250 * time.Millisecond
 	// answerHalfLife is the half-life of what answers showed, so that an endpoint that
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -37,7 +37,7 @@
 	assert.Equal(t, pace.New(newClock(), true).Pace("s", run), 1.0, "where all are learned")
 }
 
-// Guards against calls to an engine during a spell of slowness that it states, and against one
+// Guards against calls to an engine during a slow period that it states, and against one
 // that is left out for long after it.
 func TestStatedPaceFadesToWhatIsLearned(t *testing.T) {
 	clock := newClock()
--- a/internal/pick/replay_test.go
+++ b/internal/pick/replay_test.go
@@ -51,7 +51,7 @@
 // in a step, like an engine of the platform.
 type replayEngine struct {
 	inst    plank.Instance
-	pace    float64  // without spells
+	pace    float64  // without slow periods
 	spells  [64]bool // by their number since start
 	start   time.Time
 	at      time.Time // end of the last step
