review: case 6, a stream that was broken off looks complete

Cause: answers of services without engines are read to the end of their connection and taken for whole, also on streaming routes. Change: the case, with the stand-ins of all cases (review/stand-2).

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds what the scripts of the second review start: the stand-ins, which use the standard
+# library and platform/stand only. The daemon is built by the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/stand-2 ./review/stand-2
--- a/review/stand-2/case_lookup.go
+++ b/review/stand-2/case_lookup.go
@@ -4,14 +4,20 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // The case of a lookup that several callers ask for while one worker crashes.
 
 const (
-	lookupCallers = 12
-	lookupWork    = 60 * time.Millisecond
+	lookupCallers = 18
+	// usualRunning is the number of requests in progress at the worker that crashes: the mean of
+	// the callers over four workers, rounded down.
+	usualRunning = lookupCallers / 4
+	lookupWork   = 60 * time.Millisecond
+	// refusedPause is the pause of a caller after an answer that is no success.
+	refusedPause = 200 * time.Millisecond
 )
 
 // A tally counts the requests of a route and those that were served.
@@ -51,13 +57,19 @@
 func playLookup(p *play) (verdict, error) {
 	p.routes = []map[string]any{route("book", "non_idempotent", plainService, 1, 4000)}
 	p.configure()
-	serve := func(rw http.ResponseWriter, a *arrival) {
-		if a.work(lookupWork) {
+	var running [4]atomic.Int64 // requests in progress, by worker
+	serve := func(i int) func(http.ResponseWriter, *arrival) {
+		return func(rw http.ResponseWriter, a *arrival) {
+			running[i].Add(1)
+			defer running[i].Add(-1)
+			if !a.work(lookupWork) {
+				return
+			}
 			fmt.Fprintf(rw, "the answer to %s %s", a.Method, a.URL.Path)
 		}
 	}
-	for _, zone := range []string{"a", "a", "b", "b"} {
-		if err := p.addWorker(&worker{zone: zone, service: plainService, downtime: 2 * time.Second, serve: serve}); err != nil {
+	for i, zone := range []string{"a", "a", "b", "b"} {
+		if err := p.addWorker(&worker{zone: zone, service: plainService, downtime: 2 * time.Second, serve: serve(i)}); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -102,6 +114,9 @@
 				mu.Lock()
 				tallies[begun].count(a)
 				mu.Unlock()
+				if a.status != http.StatusOK {
+					time.Sleep(refusedPause)
+				}
 			}
 		}()
 	}
@@ -119,7 +134,19 @@
 	}
 	enter(before, 5*time.Second)
 	if p.trouble {
-		p.workers[0].crash()
+		busy := 0
+		if err := await(time.Second, func() bool {
+			for i := range running {
+				if running[i].Load() > running[busy].Load() {
+					busy = i
+				}
+			}
+			return running[busy].Load() >= usualRunning
+		}); err != nil {
+			return verdict{}, err
+		}
+		p.rec.note("the worker has %d requests in progress", running[busy].Load())
+		p.workers[busy].crash()
 	}
 	enter(during, 2*time.Second+2*contact)
 	enter(after, 15*time.Second)
--- a/review/stand-2/case_poison.go
+++ b/review/stand-2/case_poison.go
@@ -13,6 +13,8 @@
 	poisonBody   = "the request that crashes"
 	poisonSends  = 9
 	poisonPeriod = 4 * time.Second
+	// ordinaryCallers is the number of callers of ordinary streams beside it.
+	ordinaryCallers = 6
 	// crashAfter is the time from the first event to the crash.
 	crashAfter = 15 * time.Millisecond
 	// maxPoisonRetries is the rule's bound.
@@ -45,7 +47,7 @@
 	var arrivals, crashes []time.Duration // of the request
 	serve := func(rw http.ResponseWriter, a *arrival) {
 		if a.body != poisonBody {
-			a.stream(rw, 10, 40*time.Millisecond)
+			a.stream(rw, 20, 40*time.Millisecond)
 			return
 		}
 		mu.Lock()
@@ -81,22 +83,33 @@
 	if err := p.warmUp(ordinary); err != nil {
 		return verdict{}, err
 	}
-	stop, ended := make(chan struct{}), make(chan struct{})
-	sent, whole := 0, 0
-	go func() { // ordinary traffic
-		defer close(ended)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(300 * time.Millisecond):
-			}
-			a := p.daemons[sent%len(p.daemons)].send(ordinary())
-			if sent++; a.status == http.StatusOK && a.whole {
-				whole++
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var sent, whole int
+	var cut []time.Duration // when ordinary streams were broken off
+	for i := range ordinaryCallers {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				a := p.daemons[i%len(p.daemons)].send(ordinary())
+				mu.Lock()
+				sent++
+				switch {
+				case a.status == http.StatusOK && a.whole:
+					whole++
+				case !a.whole:
+					cut = append(cut, p.rec.now())
+				}
+				mu.Unlock()
 			}
-		}
-	}()
+		}()
+	}
 	for i := range poisonSends {
 		d := p.daemons[i%len(p.daemons)]
 		r := modelRequest(poisonBody, "e4402b7d")
@@ -107,10 +120,10 @@
 		time.Sleep(poisonPeriod)
 	}
 	close(stop)
-	<-ended
-	p.rec.note("ordinary requests: %d sent, %d answered whole", sent, whole)
+	callers.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	p.rec.note("ordinary requests: %d sent, %d answered whole", sent, whole)
 	if len(crashes) < 3 {
 		return verdict{reason: fmt.Sprintf("%d crashes", len(crashes))}, nil
 	}
@@ -120,6 +133,13 @@
 			late++
 		}
 	}
+	lost := 0
+	for _, at := range cut {
+		if at > crashes[2]+contact {
+			lost++
+		}
+	}
+	p.rec.note("ordinary streams that were broken off later than contact_ms after the third crash: %d", lost)
 	return verdict{
 		broken: late > maxPoisonRetries,
 		reason: fmt.Sprintf("%d crashes; %d retries reached workers later than contact_ms after the third crash, %d are allowed", len(crashes), late, maxPoisonRetries),
--- a/review/stand-2/case_spoiled.go
+++ b/review/stand-2/case_spoiled.go
@@ -14,6 +14,7 @@
 const (
 	spoiledEvents  = 12
 	spoiledStreams = 200
+	spoiledClients = 8
 	// spoiledEach is the number of answers of which a faulty worker spoils one.
 	spoiledEach = 20
 )
@@ -78,21 +79,32 @@
 		return verdict{}, err
 	}
 	wrong := 0
-	for i := range spoiledStreams {
-		r := sheet()
-		r.id = newID()
-		a := p.daemons[i%2].send(r)
-		mu.Lock()
-		events, isCut := cut[r.id]
-		mu.Unlock()
-		if isCut {
-			p.rec.note("client gets for %s: %v, Content-Length %q", r.id, a, a.header.Get("Content-Length"))
-		}
-		if a.status == http.StatusOK && a.whole && a.body != whole {
-			wrong++
-			p.rec.note("it looks complete, but holds %d whole events of %d; the worker sent %d", strings.Count(a.body, "\n\n"), spoiledEvents, events)
-		}
+	begin := time.Now()
+	var clients sync.WaitGroup
+	for i := range spoiledClients {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for range spoiledStreams / spoiledClients {
+				r := sheet()
+				r.id = newID()
+				a := p.daemons[i%2].send(r)
+				mu.Lock()
+				if events, isCut := cut[r.id]; isCut {
+					p.rec.note("client gets for %s: %v, Content-Length %q", r.id, a, a.header.Get("Content-Length"))
+					if a.status == http.StatusOK && a.whole {
+						p.rec.note("it looks complete, but holds %d whole events of %d; the worker sent %d", strings.Count(a.body, "\n\n"), spoiledEvents, events)
+					}
+				}
+				if a.status == http.StatusOK && a.whole && a.body != whole {
+					wrong++
+				}
+				mu.Unlock()
+			}
+		}()
 	}
+	clients.Wait()
+	p.rec.note("%d streams in %v", spoiledStreams, time.Since(begin).Round(time.Millisecond))
 	return verdict{
 		broken: wrong > 0,
 		reason: fmt.Sprintf("%d of %d streams were broken off by their worker; %d looked complete to their clients", len(cut), spoiledStreams, wrong),
