--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -18,6 +19,7 @@
 	id, method, path, body string
 	header                 map[string]string
 	deadline               time.Duration
+	key                    string // the tenant's first one if empty
 	withoutKey             bool
 }
 
@@ -59,7 +61,7 @@
 	return hex.EncodeToString(b[:])
 }
 
-// head returns the bytes of the request.
+// bytes returns the request as it is sent, with a new id if it has none.
 func (r *request) bytes() []byte {
 	if r.id == "" {
 		r.id = newID()
@@ -69,7 +71,7 @@
 	}
 	lines := []string{r.method + " " + r.path + " HTTP/1.1", "Host: " + host, "Knapweedplank-Attempt-Id: " + r.id, fmt.Sprintf("Knapweedplank-Deadline-Ms: %d", r.deadline.Milliseconds())}
 	if !r.withoutKey {
-		lines = append(lines, "Authorization: Token "+key)
+		lines = append(lines, "Authorization: Token "+cmp.Or(r.key, key))
 	}
 	if r.body != "" {
 		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(r.body)))
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -37,11 +37,11 @@
 
 // cases maps the names of the cases to their functions.
 var cases = map[string]func(*play) (verdict, error){
-	"poison":     playPoison,
 	"lookup":     playLookup,
 	"spoiled":    playSpoiled,
 	"pipelined":  playPipelined,
 	"crowd":      playCrowd,
+	"store-move": playStoreMove,
 }
 
 var errUsage = errors.New("usage: stand-2 CASE RECORD, in the repository's root")
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -28,9 +28,7 @@
 	host         = "review.example"
 	tenant       = "tenant-1"
 	key          = "i9n73hh2b9wu3fexd9dn"
-	modelService = "models"
 	plainService = "desk"
-	model        = "m0"
 )
 
 // program and role are the command of the deploy file.
@@ -50,6 +48,7 @@
 	workers   []*worker
 	routes    []map[string]any
 	version   int
+	keys      []string // of the tenant
 }
 
 // A daemon is one daemon of the system, on an address of its own.
@@ -66,7 +65,7 @@
 
 // newSite returns a deployment with a store and nothing else.
 func newSite(dir string, rec *record) (*site, error) {
-	s := &site{rec: rec, dir: dir, store: stand.NewStore()}
+	s := &site{rec: rec, dir: dir, store: stand.NewStore(), keys: []string{key}}
 	var err error
 	s.storeAddr, s.storeHTTP, err = s.serveStore("127.40.200.7:0")
 	return s, err
@@ -109,13 +108,9 @@
 		"version": s.version, "routes": s.routes,
 		"services": []map[string]any{
 			{"name": plainService, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false},
-			{"name": modelService, "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 255303, "stride": 5, "max_adapters": 7, "loads_per_s": 2.1, "weights_mb": 66500.0,
-				"models": []map[string]any{{"name": model, "weights_mb": 65100.0, "load_time_s": 1.9, "adapters": 3000, "adapter_size_mb": 12.0}},
-			}},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": tenant, "api_keys": []string{key}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 150000, "burst": 150000}},
+		"tenants": []map[string]any{{"name": tenant, "api_keys": s.keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 150000, "burst": 150000}},
 	})
 	s.rec.note("configuration %d acknowledged, %d routes", s.version, len(s.routes))
 }
@@ -266,3 +261,14 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// warmUp sends requests to each daemon until it serves one.
+func (s *site) warmUp(r func() request) error {
+	for _, d := range s.daemons {
+		if err := await(20*time.Second, func() bool { a := d.send(r()); return a.status == http.StatusOK && a.whole }); err != nil {
+			return fmt.Errorf("%s does not serve: %w", d.name, err)
+		}
+	}
+	s.rec.note("all daemons serve")
+	return nil
+}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -6,19 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// How long loads take: of an adapter, and of the model from the worker's own disk.
-const (
-	adapterLoad = 250 * time.Millisecond
-	modelLoad   = 760 * time.Millisecond
-)
-
 // An arrival is a request at a worker that has passed the worker's checks.
 type arrival struct {
 	*http.Request
@@ -27,31 +19,25 @@
 	worker   *worker
 }
 
-// A worker is a stand-in of a worker: of a model worker if model is set. It serves, registers
-// and takes orders as the protocol page says.
+// A worker is a stand-in of a worker of a service without engines. It serves and registers as the
+// protocol page says.
 type worker struct {
-	site                 *site
-	zone, service, model string
-	ip                   string
-	slots                int
-	downtime             time.Duration // from a crash to the next start
+	site          *site
+	zone, service string
+	ip            string
+	slots         int
+	downtime      time.Duration // from a crash to the next start
 	// serve answers the requests that pass the checks.
 	serve func(w http.ResponseWriter, a *arrival)
 
 	mu       sync.Mutex
-	starts   int
 	id, addr string
 	born     time.Time
 	isUp     bool
 	ln       net.Listener
 	conns    map[net.Conn]struct{}
+	runs     context.Context // ends with the process
 	endRuns  context.CancelFunc
-	runs     context.Context
-	modelAt  time.Time            // when the model is there; zero if it is not ordered
-	resident map[string]uint64    // versions of adapters
-	loading  map[string]time.Time // when their loads end
-	seq      uint64
-	fence    uint64
 	written  string // the entry that was last written
 	quit     chan struct{}
 }
@@ -71,7 +57,7 @@
 	return nil
 }
 
-// start starts the worker anew, with another id and without adapters.
+// start starts the worker anew, with another id.
 func (w *worker) start() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -83,13 +69,8 @@
 	if err != nil {
 		return err
 	}
-	w.modelAt = time.Time{} // workers restart empty
-	if w.starts++; w.starts == 1 {
-		w.modelAt = time.Now()
-	}
 	w.ln, w.addr, w.isUp, w.born = ln, ln.Addr().String(), true, time.Now()
 	w.id = "i-" + newID()[:10]
-	w.resident, w.loading, w.seq, w.fence = make(map[string]uint64), make(map[string]time.Time), 0, 0
 	conns := make(map[net.Conn]struct{})
 	w.conns = conns
 	w.runs, w.endRuns = context.WithCancel(context.Background())
@@ -107,46 +88,18 @@
 	return nil
 }
 
-// entry returns the worker's registration. The lock is held.
-func (w *worker) entry() map[string]any {
-	e := map[string]any{
+// writeEntry writes the registration if it has changed. The lock is held.
+func (w *worker) writeEntry() {
+	entry := map[string]any{
 		"service": w.service, "addr": w.addr, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "cold_left_ms": 0,
-		"seq": w.seq, "born": w.born.UnixMilli(),
-	}
-	if w.model != "" {
-		e["stage"], e["models"] = "unified", w.models()
+		"seq": 0, "born": w.born.UnixMilli(),
 	}
-	return e
-}
-
-// hasModel reports whether the model is there. The lock is held.
-func (w *worker) hasModel() bool { return !w.modelAt.IsZero() && !time.Now().Before(w.modelAt) }
-
-// models returns what the worker holds. The lock is held.
-func (w *worker) models() []map[string]any {
-	if !w.hasModel() {
-		return []map[string]any{}
-	}
-	adapters := []string{}
-	for name, version := range w.resident {
-		adapters = append(adapters, fmt.Sprintf("%s@%d", name, version))
-	}
-	sort.Strings(adapters)
-	return []map[string]any{{"name": w.model, "version": 1, "adapters": adapters}}
-}
-
-// writeEntry writes the registration if more than its count of orders has changed. The lock is
-// held.
-func (w *worker) writeEntry() {
-	e := w.entry()
-	seq := e["seq"]
-	delete(e, "seq")
-	text, err := json.Marshal(e)
+	text, err := json.Marshal(entry)
 	if err != nil || string(text) == w.written {
 		return
 	}
-	w.written, e["seq"] = string(text), seq
-	w.site.store.Put("servers/"+w.id, e)
+	w.written = string(text)
+	w.site.store.Put("servers/"+w.id, entry)
 }
 
 // beat registers the worker again and again, as long as it is up.
@@ -159,7 +112,6 @@
 		}
 		w.mu.Lock()
 		if w.isUp {
-			w.finishLoads()
 			w.writeEntry()
 		}
 		w.mu.Unlock()
@@ -199,16 +151,6 @@
 	w.endRuns()
 }
 
-// finishLoads makes the adapters resident whose loads have ended. The lock is held.
-func (w *worker) finishLoads() {
-	for name, ends := range w.loading {
-		if !time.Now().Before(ends) {
-			w.resident[name] = 1
-			delete(w.loading, name)
-		}
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body := new(strings.Builder)
@@ -231,16 +173,10 @@
 	case expected != "" && expected != id:
 		rw.Header().Set("Knapweedplank-Instance-Id", id)
 		w.refuse(rw, http.StatusMisdirectedRequest)
-	case r.URL.Path == "/report":
-		w.report(rw)
-	case r.URL.Path == "/order":
-		w.order(rw, a.body)
 	case r.URL.Path == "/healthz":
 		rw.Header().Set("Knapweedplank-Instance-Id", id)
 	case a.id == "":
 		w.refuse(rw, http.StatusBadRequest)
-	case w.model != "" && !w.holds(r.Header):
-		w.refuse(rw, http.StatusMisdirectedRequest)
 	default:
 		rw.Header().Set("Knapweedplank-Server-Stamp", "stamp-"+id)
 		w.serve(rw, a)
@@ -253,80 +189,6 @@
 	rw.WriteHeader(status)
 }
 
-// holds reports whether the worker holds the adapter that a request asks for.
-func (w *worker) holds(h http.Header) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.finishLoads()
-	_, adapter, ok := strings.Cut(h.Get("Knapweedplank-Model"), "/")
-	version, resident := w.resident[adapter]
-	expected := h.Get("Knapweedplank-Expect-Version")
-	return w.hasModel() && (!ok || resident && (expected == "" || expected == strconv.FormatUint(version, 10)))
-}
-
-// report answers with what the worker holds and does.
-func (w *worker) report(rw http.ResponseWriter) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.finishLoads()
-	coming := []string{}
-	for name := range w.loading {
-		coming = append(coming, fmt.Sprintf("%s/%s@1", w.model, name))
-	}
-	writeJSON(rw, map[string]any{
-		"stage": "unified", "models": w.models(), "busy": !w.modelAt.IsZero() && !w.hasModel(), "seq": w.seq, "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 255303,
-		"handles": 0, "coming": coming, "born": w.born.UnixMilli(), "state": "ready",
-	})
-}
-
-// order carries out a load or unload of an adapter.
-func (w *worker) order(rw http.ResponseWriter, body string) {
-	var o struct {
-		Op, Model, Adapter, Holder string
-		Expect                     *uint64
-		Fence                      uint64
-	}
-	if json.Unmarshal([]byte(body), &o) != nil || o.Holder == "" || o.Fence == 0 {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.finishLoads()
-	_, isLoading := w.loading[o.Adapter]
-	_, isResident := w.resident[o.Adapter]
-	switch {
-	case o.Fence < w.fence:
-		rw.WriteHeader(http.StatusPreconditionFailed)
-	case o.Op == "load" && (isLoading || o.Adapter == "" && !w.modelAt.IsZero() && !w.hasModel()):
-		rw.WriteHeader(http.StatusAccepted)
-	case o.Op == "load" && (o.Adapter == "" && w.hasModel() || isResident), o.Op == "unload" && !isResident:
-		rw.WriteHeader(http.StatusOK)
-	case o.Adapter != "" && !w.hasModel():
-		rw.WriteHeader(http.StatusBadRequest)
-	case o.Expect != nil && *o.Expect != w.seq:
-		rw.WriteHeader(http.StatusConflict)
-	default:
-		w.fence = o.Fence
-		w.seq++
-		if o.Op == "unload" {
-			delete(w.resident, o.Adapter)
-			return
-		}
-		if o.Adapter == "" {
-			w.modelAt = time.Now().Add(modelLoad)
-		} else {
-			w.loading[o.Adapter] = time.Now().Add(adapterLoad)
-		}
-		rw.WriteHeader(http.StatusAccepted)
-	}
-}
-
-func writeJSON(rw http.ResponseWriter, v any) {
-	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(v) // the caller may have left
-}
-
 // work waits for a time, and reports whether the worker is still up and the caller there.
 func (a *arrival) work(d time.Duration) bool {
 	a.worker.mu.Lock()
@@ -347,7 +209,6 @@
 // stream answers with a stream of events, with a pause before each.
 func (a *arrival) stream(rw http.ResponseWriter, events int, pause time.Duration) {
 	rw.Header().Set("Content-Type", "text/event-stream")
-	rw.Header().Set("Knapweedplank-Weight-Versions", "1")
 	rw.WriteHeader(http.StatusOK)
 	for n := 1; n <= events; n++ {
 		if !a.work(pause) {
