--- a/review/stand-2/case_crowd.go
+++ b/review/stand-2/case_crowd.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -21,12 +22,18 @@
 	crowdTime       = 4 * time.Second
 	crowdPause      = 11500 * time.Millisecond
 	ordinaryClients = 10
+	// minFiles is the number of descriptors of the small sites' machines.
+	minFiles = 4100
 	// tryTime is the time in which ordinary clients try new connections. It is longer than
 	// contact_ms.
 	tryTime = 5 * time.Second
 )
 
 func playCrowd(p *play) (verdict, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Max < minFiles {
+		return verdict{}, fmt.Errorf("processes may open %d files, %d are needed (%v)", files.Max, minFiles, err)
+	}
 	public := route("catalogue", "idempotent", plainService, 2, 4000)
 	public["public"] = true
 	p.routes = []map[string]any{route("book", "non_idempotent", plainService, 1, 4000), public}
