Streams of services without engines are read as streams

Cause: the service decided how an answer is read. Answers of services without engines were opaque bodies, whole at the end of their connection if they had no length. The same cause held events back until the end, cut a resumable stream after twice the target of its first event, dropped the caller's Last-Event-Id, and refused an engine's whole answer on a route of another kind.

Why it works: Server.receive reads the answers of all endpoints. The kind of the route or the content type tells a stream, which then goes through the checks that engines' streams had: order, an end within an event, an end without an event. Ruled out: a check of the last bytes of opaque bodies, which would leave the order, the held events and resumption as they were.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -11,13 +11,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
-	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/evac"
 	"knapweedplank.org/plank/internal/grant"
 	"knapweedplank.org/plank/internal/mesh"
 	"knapweedplank.org/plank/internal/pause"
 	"knapweedplank.org/plank/internal/pick"
-	"knapweedplank.org/plank/internal/sse"
 )
 
 const (
@@ -55,7 +53,7 @@
 // serveModel serves a call on one of the service's model engines.
 func (s *Server) serveModel(ctx context.Context, j *job) callEnd {
 	s.deps.Budgets.Of(j.service).AddRequest()
-	p := &progress{lastID: j.call.LastEvent, order: sse.NewSequenceChecker(j.call.LastEvent)}
+	p := newProgress(j.call)
 	unusable := func() bool {
 		return !s.deps.Chooser.pauseEnd(j.service).IsZero() || s.deps.Chooser.isAllOut(j.service)
 	}
@@ -95,7 +93,7 @@
 		if r == rejected {
 			skip[inst.ID] = false // the engine may hold the adapter at the next attempt
 		}
-		if ctx.Err() != nil || !s.allowRetry(j, r) {
+		if ctx.Err() != nil || !s.allowRetry(j, p, r) {
 			break
 		}
 	}
@@ -334,37 +332,29 @@
 	})
 	defer stallTimer.Stop()
 	if p.begun {
-		j.log.WithFields(logrus.Fields{"endpoint": inst.ID, "after_event": p.lastID, "sends": j.sends}).Info("front: stream carried on")
+		s.logContinued(j, p, inst)
 	}
 	a := attempt{inst: inst}
 	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{
 		Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Version: res.Version(),
 		Resume: p.lastID, Urgency: min(maxUrgency, max(0, j.priority)),
 	})
-	var e callEnd
 	s.reportCold(inst, res)
-	isStream := a.err == nil && a.reply.Status == 200
 	if a.err == nil {
 		defer a.reply.Body.Close()
-		if !isStream {
-			a.body, a.err = s.bodies.read(ctx, a.reply.Body, budget.FromContext(ctx))
+		if a.reply.Stamped && a.reply.Status/100 == 2 {
+			res.ReportPace(PaceReport{Stated: a.reply.Pace})
 		}
 	}
-	a.result = s.classify(ctx, j, &a)
-	switch {
-	case a.result == served && isStream:
-		res.ReportPace(PaceReport{Stated: a.reply.Pace})
-		a.result, a.err = s.relay(j, p, &a, func() {
-			stallTimer.Stop()
-			res.MarkStarted()
-		})
-		if s.deps.Chooser.Paces.IsLearned(j.service) {
-			res.ReportPace(PaceReport{Step: a.steps.step(j.pool.EventTokens)})
-		}
-		e = callEnd{outcome: outcomeServed, status: a.reply.Status}
-	case (a.result == served || a.result == failed) && p.begun:
-		a.result, a.err = broken, &resumeError{a.reply.Status}
-	case a.result == served || a.result == failed:
+	s.receive(ctx, j, p, &a, func() {
+		stallTimer.Stop()
+		res.MarkStarted()
+	})
+	if a.forwarded && s.deps.Chooser.Paces.IsLearned(j.service) {
+		res.ReportPace(PaceReport{Step: a.steps.step(j.pool.EventTokens)})
+	}
+	var e callEnd
+	if a.result == served || a.result == failed {
 		e = s.answerFromAttempt(ctx, j, a)
 	}
 	if a.result == abandoned {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,6 +58,8 @@
 	// healthRecorded is set if the failure of this attempt was already recorded
 	// in the health table.
 	healthRecorded bool
+	// forwarded is set if the answer is a stream, which reached the caller while it was read.
+	forwarded bool
 }
 
 // recordFailure records in the health table that the endpoint failed the attempt,
@@ -70,6 +73,7 @@
 func (s *Server) servePlain(ctx context.Context, j *job) callEnd {
 	tried := make(map[plank.EndpointID]bool)
 	s.deps.Budgets.Of(j.service).AddRequest()
+	p := newProgress(j.call)
 	var last attempt
 	for unreached := 0; unreached < maxUnsent; {
 		inst, ok := s.pickReplica(j, tried)
@@ -77,7 +81,7 @@
 			break
 		}
 		tried[inst.ID] = true
-		last = s.tryPlain(ctx, j, inst)
+		last = s.tryPlain(ctx, j, p, inst)
 		if last.result == served || last.result == abandoned {
 			break
 		}
@@ -85,17 +89,21 @@
 			unreached++
 			continue
 		}
-		if ctx.Err() != nil || !s.allowRetry(j, last.result) {
+		if ctx.Err() != nil || !s.allowRetry(j, p, last.result) {
 			break
 		}
 	}
+	if p.begun && last.result != served && last.result != abandoned && !j.callerLeft() {
+		return callEnd{outcome: outcomeBroken}
+	}
 	return s.answerFromAttempt(ctx, j, last)
 }
 
 // allowRetry reports whether a call may be sent to another endpoint after an
-// attempt with result r. If so, it takes a retry from the service's budget.
-func (s *Server) allowRetry(j *job, r result) bool {
-	if j.sends >= j.route.MaxAttempts || r != rejected && !j.route.Repeatable() {
+// attempt with result r. If so, it takes a retry from the service's budget. Answers that
+// have begun are only continued on routes that say so: two runs may differ.
+func (s *Server) allowRetry(j *job, p *progress, r result) bool {
+	if j.sends >= j.route.MaxAttempts || r != rejected && !j.route.Repeatable() || p.begun && !j.route.Resumable {
 		return false
 	}
 	if !s.deps.Budgets.Of(j.service).TakeRetry() {
@@ -156,27 +164,23 @@
 	return r.Instance, true
 }
 
-// tryPlain sends a call to one endpoint and reads the whole answer.
-func (s *Server) tryPlain(ctx context.Context, j *job, inst plank.Instance) attempt {
-	deadline := j.deadline
-	if j.route.Repeatable() && j.sends+1 < j.route.MaxAttempts {
-		now := s.deps.Clock.Now()
-		if d := now.Add(attemptTimeoutFactor * j.route.TargetLatency); d.Before(now.Add(deadline.Sub(now) / 2)) {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithDeadline(ctx, d)
-			defer cancel()
-		}
-	}
+// tryPlain sends a call to one endpoint. It forwards the answer if that is a stream, and else
+// reads it whole.
+func (s *Server) tryPlain(ctx context.Context, j *job, p *progress, inst plank.Instance) attempt {
+	ctx, stopTimeout := s.limitAttempt(ctx, j)
+	defer stopTimeout(true)
 	sentAt, calls := s.deps.Clock.Now(), s.deps.InFlight.Count(inst.ID)+1
 	s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, 1)
 	defer s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, -1)
-	reply, err := s.deps.Sender.Send(ctx, j.call, plank.Dispatch{Instance: inst, Workspace: j.workspaceID(), Deadline: deadline, Urgency: -1})
-	a := attempt{inst: inst, reply: reply, err: err}
-	if err == nil {
-		defer reply.Body.Close()
-		a.body, a.err = s.bodies.read(ctx, reply.Body, budget.FromContext(ctx))
+	if p.begun {
+		s.logContinued(j, p, inst)
+	}
+	a := attempt{inst: inst}
+	a.reply, a.err = s.deps.Sender.Send(ctx, j.call, plank.Dispatch{Instance: inst, Workspace: j.workspaceID(), Deadline: j.deadline, Resume: p.lastID, Urgency: -1})
+	if a.err == nil {
+		defer a.reply.Body.Close()
 	}
-	a.result = s.classify(ctx, j, &a)
+	s.receive(ctx, j, p, &a, func() { stopTimeout(false) })
 	if a.result == served {
 		s.deps.Chooser.Paces.RecordPlain(j.service, inst.Run(), s.deps.Clock.Now().Sub(sentAt), calls, inst.Slots)
 		s.recordBegun(j, &a)
@@ -185,6 +189,56 @@
 	return a
 }
 
+// limitAttempt bounds the time until the answer of an attempt has ended, or its stream has
+// begun, if another endpoint can be tried then. stop ends the bound, and the context too if
+// cancel is set.
+func (s *Server) limitAttempt(ctx context.Context, j *job) (_ context.Context, stop func(cancel bool)) {
+	now := s.deps.Clock.Now()
+	d := now.Add(attemptTimeoutFactor * j.route.TargetLatency)
+	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts || !d.Before(now.Add(j.deadline.Sub(now)/2)) {
+		return ctx, func(bool) {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(d.Sub(now), cancel)
+	return ctx, func(all bool) {
+		timer.Stop()
+		if all {
+			cancel()
+		}
+	}
+}
+
+// receive forwards the answer of an attempt to the caller if that is a stream, and else reads it
+// whole. It sets the attempt's result. onFirstEvent is called at the first event of a stream.
+func (s *Server) receive(ctx context.Context, j *job, p *progress, a *attempt, onFirstEvent func()) {
+	isStream := a.err == nil && j.isStream(a.reply)
+	if a.err == nil && !isStream {
+		a.body, a.err = s.bodies.read(ctx, a.reply.Body, budget.FromContext(ctx))
+	}
+	a.result = s.classify(ctx, j, a)
+	switch {
+	case a.result == served && isStream:
+		a.forwarded = true
+		a.result, a.err = s.relay(j, p, a, onFirstEvent)
+		a.healthRecorded = a.healthRecorded || isStopping(ctx)
+	case (a.result == served || a.result == failed) && p.begun:
+		a.result, a.err = broken, &resumeError{a.reply.Status}
+	}
+}
+
+// isStream reports whether an answer is a series of events, as the kind of the route or the
+// answer itself says.
+func (j *job) isStream(r *plank.Reply) bool {
+	if r.Status != http.StatusOK {
+		return false
+	}
+	if j.route.Kind == plank.Streaming {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // classify returns the result of an attempt and updates the call's record of its
 // attempts.
 func (s *Server) classify(ctx context.Context, j *job, a *attempt) result {
@@ -305,10 +359,11 @@
 // answerFromAttempt ends a call with the answer of its last attempt, or with a
 // refusal if that has none.
 func (s *Server) answerFromAttempt(ctx context.Context, j *job, a attempt) callEnd {
-	if j.callerLeft() {
-		return callEnd{outcome: outcomeLeft}
-	}
 	switch {
+	case a.forwarded && a.result == served:
+		return callEnd{outcome: outcomeServed, status: a.reply.Status}
+	case a.result == abandoned, j.callerLeft():
+		return callEnd{outcome: outcomeLeft}
 	case j.sends > 0 && (a.result == served || a.result == failed):
 		if err := j.w.Respond(a.reply.Head, a.body); err != nil {
 			j.log.WithError(err).Debug("front: caller disconnected before the answer was written")
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
 	"knapweedplank.org/plank/internal/sse"
 )
@@ -24,6 +25,16 @@
 	longestPause time.Duration
 }
 
+// newProgress returns the progress of a call whose answer has not begun.
+func newProgress(call *plank.Call) *progress {
+	return &progress{lastID: call.LastEvent, order: sse.NewSequenceChecker(call.LastEvent)}
+}
+
+// logContinued logs that another endpoint goes on with a stream.
+func (s *Server) logContinued(j *job, p *progress, inst plank.Instance) {
+	j.log.WithFields(logrus.Fields{"endpoint": inst.ID, "after_event": p.lastID, "sends": j.sends}).Info("front: stream carried on")
+}
+
 // recordPause updates the longest pause with an event forwarded at now.
 func (p *progress) recordPause(now time.Time) {
 	if !p.lastAt.IsZero() {
