Crashes beside a request are counted by run, and cleared by answers

Cause: each call that a crash broke off counted as a crash of its fingerprint, and three were enough. Equal calls on one run of an endpoint are one crash. Beside it: counts of several VMs were merged by maximum, an endpoint that did not answer the probe (cut off, paused) counted as crashed, and no success cleared a count.

Why it works: poison.RequestTable keeps the runs that crashed with a request, as the table of prompt parts does, so equal calls on one run are one observation on all VMs. An answer clears them. A request that crashes each endpoint is never answered: three crashes quarantine it (five if it was served before), also between two attempts.

Suspects of Gossip are no longer sent; its field is reserved.

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -72,7 +72,7 @@
 			skip[inst.ID] = true
 			continue
 		}
-		if refusal := s.checkParts(j); refusal != nil {
+		if refusal := s.checkQuarantine(j); refusal != nil {
 			res.Release()
 			return s.refuseQuarantined(j, p, refusal)
 		}
@@ -138,7 +138,7 @@
 	return s.refuse(j.w, j.log, s.noEndpoint(ctx, j, "no engine of %s has room", max(retry, noCapacityRetry)))
 }
 
-// refuseQuarantined ends a call one of whose prompt parts was quarantined while it waited
+// refuseQuarantined ends a call that was quarantined, or a part of its prompt, while it waited
 // or between two attempts.
 func (s *Server) refuseQuarantined(j *job, p *progress, r *plank.RefusalError) callEnd {
 	if p.begun {
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"mime"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +94,9 @@
 		if ctx.Err() != nil || !s.allowRetry(j, p, last.result) {
 			break
 		}
+		if refusal := s.checkQuarantine(j); refusal != nil {
+			return s.refuseQuarantined(j, p, refusal)
+		}
 	}
 	if p.begun && last.result != served && last.result != abandoned && !j.callerLeft() {
 		return callEnd{outcome: outcomeBroken}
@@ -328,30 +333,39 @@
 func (s *Server) recordBegun(j *job, a *attempt) {
 	if !a.begun {
 		a.begun = true
+		s.deps.Requests.RecordServed(j.fingerprint)
 		s.deps.Parts.RecordBegun(j.call.Parts)
 	}
 }
 
 // checkCrash checks in the background whether the endpoint crashed while it ran the
 // attempt. It records the crash against the request if there was no event yet, and against
-// the parts of its prompt if the answer had not begun.
+// the parts of its prompt if the answer had not begun. Only a refused connection shows a
+// crash: one that is not answered may lead to an endpoint that is cut off or paused.
 func (s *Server) checkCrash(j *job, a *attempt) {
 	if s.deps.Clock.Now().After(j.deadline) || s.deps.Chooser.isOut(a.inst) {
 		return // the attempt ended at the deadline, or the endpoint gets no probes
 	}
 	inst, begun, hasEvent := a.inst, a.begun, !j.firstEventAt.IsZero()
 	go func() {
-		if s.deps.IsDown(inst) {
-			j.log.WithFields(logrus.Fields{
-				"endpoint": inst.ID, "born": inst.Born.UnixMilli(), "parts": j.call.Parts, "begun": begun,
-			}).Info("front: the endpoint crashed during the call")
-			s.deps.Health.RecordUnreachable(inst.ID)
-			if !hasEvent {
-				s.deps.Poison.RecordCrash([]plank.Fingerprint{j.fingerprint}, false)
-			}
-			if !begun {
-				s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
-			}
+		err := s.deps.Probe(inst)
+		if err == nil {
+			return
+		}
+		log := j.log.WithFields(logrus.Fields{
+			"endpoint": inst.ID, "born": inst.Born.UnixMilli(), "print": hex.EncodeToString([]byte(j.fingerprint)), "parts": j.call.Parts, "begun": begun,
+		})
+		s.deps.Health.RecordUnreachable(inst.ID)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			log.WithError(err).Info("front: the endpoint does not answer after the call")
+			return
+		}
+		log.Info("front: the endpoint crashed during the call")
+		if !hasEvent {
+			s.deps.Requests.RecordCrash(inst.Run(), j.fingerprint)
+		}
+		if !begun {
+			s.deps.Parts.RecordCrash(inst.Run(), j.fingerprint, j.call.Parts)
 		}
 	}()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -36,7 +36,7 @@
 	Limiter  *limit.GossipLimiter
 	Budgets  *Budgets
 	Health   *health.Table
-	Poison   *poison.Table
+	Requests *poison.RequestTable
 	Parts    *poison.PartTable
 	// Portions are this VM's portions of the calls to cold replicas; nil if the chooser
 	// knows no cold endpoints.
@@ -48,9 +48,9 @@
 	StopTime func() time.Time
 	// Stopping ends shortly before the process does: calls in progress are then answered.
 	Stopping context.Context
-	// IsDown reports whether an endpoint accepts no connections. It is called after
-	// an attempt was broken off.
-	IsDown  func(inst plank.Instance) bool
+	// Probe connects to an endpoint and returns the error, if any. It is called after an attempt
+	// was broken off.
+	Probe   func(inst plank.Instance) error
 	Clock   plank.Clock
 	Metrics metrics.Registry
 	Log     *logrus.Entry
@@ -171,10 +171,7 @@
 		return nil, refuseStopping("the process ends before the call could")
 	}
 	j.fingerprint = fingerprint(call, j.workspaceID())
-	if e, ok := s.deps.Poison.Lookup(j.fingerprint); ok && e.Quarantined {
-		return nil, plank.Refuse(plank.CodeQuarantined, "the request crashed %d endpoints", e.Crashes)
-	}
-	if r := s.checkParts(j); r != nil {
+	if r := s.checkQuarantine(j); r != nil {
 		return nil, r
 	}
 	return j, s.takeQuota(ctx, j)
@@ -200,8 +197,11 @@
 	return r
 }
 
-// checkParts refuses a call if a part of its prompt is quarantined.
-func (s *Server) checkParts(j *job) *plank.RefusalError {
+// checkQuarantine refuses a call that is quarantined, or has a quarantined part in its prompt.
+func (s *Server) checkQuarantine(j *job) *plank.RefusalError {
+	if crashes, quarantined := s.deps.Requests.Lookup(j.fingerprint); quarantined {
+		return plank.Refuse(plank.CodeQuarantined, "the request crashed %d endpoints", crashes)
+	}
 	if q, ok := s.deps.Parts.Lookup(j.call.Parts); ok {
 		return plank.Refuse(plank.CodeQuarantined, "the parts %v of the prompt crashed %d endpoints", q.Parts, q.Crashes)
 	}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,10 +35,11 @@
 // A harness is a Server whose holder and endpoints are functions.
 type harness struct {
 	*front.Server
-	view    *view.Publisher
-	chooser *front.Chooser
-	health  *health.Table
-	parts   *poison.PartTable
+	view     *view.Publisher
+	chooser  *front.Chooser
+	health   *health.Table
+	parts    *poison.PartTable
+	requests *poison.RequestTable
 	// reserveErr, if not nil, is the error of each reservation.
 	reserveErr error
 	// learnsCost is set if the services learn costs.
@@ -46,6 +48,8 @@
 	reserve func(n int) plank.EndpointID
 	// send returns the answer of an endpoint.
 	send func(id plank.EndpointID) (*plank.Reply, error)
+	// probe returns the error of connecting to an endpoint.
+	probe func(id plank.EndpointID) error
 
 	mu           sync.Mutex
 	reservations int
@@ -78,7 +82,9 @@
 	clock := plank.SystemClock{}
 	h := &harness{
 		view: view.New(nil), health: health.New(clock),
-		parts: poison.NewPartTable(clock, func([]poison.Observation) {}, func(poison.Quarantine, bool) {}),
+		parts:    poison.NewPartTable(clock, func([]poison.Observation) {}, func(poison.Quarantine, bool) {}),
+		requests: poison.NewRequestTable(clock, func([]poison.Observation) {}),
+		probe:    func(plank.EndpointID) error { return nil },
 	}
 	m := mesh.New(ctx, mesh.Self{VM: "vm", Boot: "boot", Domain: "d", Address: "10.0.0.9:1"}, mesh.PeerTransport(peer.New(nil, nil, log)), noState{}, clock, log)
 	route := func(name string, kind plank.RouteKind, service plank.ServiceID) plank.Route {
@@ -104,9 +110,9 @@
 	h.Server = front.New(front.Deps{
 		Domain: "d", View: h.view, Mesh: m, Reserver: h, Limiter: limit.NewGossipLimiter(clock, true, func() uint64 { return 0 }),
 		Chooser: h.chooser, Budgets: front.NewBudgets(0.2, 10),
-		Health: h.health, Poison: poison.New(clock, nil), Parts: h.parts,
+		Health: h.health, Requests: h.requests, Parts: h.parts,
 		InFlight: front.NewInFlight(func() {}), Sender: h, StopTime: func() time.Time { return time.Time{} }, Stopping: context.Background(),
-		IsDown: func(plank.Instance) bool { return false }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
+		Probe: func(inst plank.Instance) error { return h.probe(inst.ID) }, Clock: clock, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	return h
 }
@@ -204,14 +210,19 @@
 
 // call sends a call on a route, with the given prompt parts, and returns the answer.
 func (h *harness) call(route string, parts ...plank.PartID) *answer {
+	return h.callWith(route, func(c *plank.Call) { c.Parts = parts })
+}
+
+// callWith sends a call that modify has changed.
+func (h *harness) callWith(route string, modify func(*plank.Call)) *answer {
 	calls.Lock()
 	calls.n++
 	id := plank.RequestID(fmt.Sprint("call-", calls.n))
 	calls.Unlock()
 	a := new(answer)
-	h.Handle(context.Background(), &plank.Call{
-		ID: id, Method: http.MethodPost, Host: "h", Target: "/" + route + "/", Header: http.Header{}, Arrived: time.Now(), Parts: parts,
-	}, a)
+	call := &plank.Call{ID: id, Method: http.MethodPost, Host: "h", Target: "/" + route + "/", Header: http.Header{}, Arrived: time.Now()}
+	modify(call)
+	h.Handle(context.Background(), call, a)
 	return a
 }
 
@@ -368,3 +379,72 @@
 		})
 	}
 }
+
+// One crash of an endpoint with several equal lookups in progress counted as so many crashes of
+// the lookup, and every later one was refused. So did an endpoint that was cut off.
+func TestEqualLookupsBesideOneCrashAreRefused(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		err  error // of connecting to the endpoint
+	}{
+		{"crashed", syscall.ECONNREFUSED},
+		{"cut off", context.DeadlineExceeded},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			const lookups = 8
+			h := newHarness(t)
+			h.register(instance("p1", plainService))
+			var arrived, probed sync.WaitGroup
+			arrived.Add(lookups)
+			probed.Add(lookups)
+			h.send = func(id plank.EndpointID) (*plank.Reply, error) {
+				arrived.Done()
+				arrived.Wait()
+				return nil, &plank.SendError{Endpoint: id, Op: "read", Sent: true, Err: io.EOF}
+			}
+			h.probe = func(plank.EndpointID) error {
+				defer probed.Done()
+				return test.err
+			}
+			var all sync.WaitGroup
+			for range lookups {
+				all.Go(func() { h.call("look") })
+			}
+			all.Wait()
+			probed.Wait()
+			time.Sleep(20 * time.Millisecond) // for what follows the probes
+			again := instance("p1", plainService)
+			again.Born = again.Born.Add(time.Second)
+			h.register(again)
+			h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
+			assert.Equal(t, h.call("look").status, http.StatusOK)
+		})
+	}
+}
+
+// A lookup that crashes each endpoint that runs it is refused after its third crash, without
+// being sent to another one; others are served.
+func TestLookupThatCrashesEndpointsIsContained(t *testing.T) {
+	h := newHarness(t)
+	probed := make(chan struct{}, 1)
+	h.probe = func(plank.EndpointID) error {
+		defer func() { probed <- struct{}{} }()
+		return syscall.ECONNREFUSED
+	}
+	h.send = func(id plank.EndpointID) (*plank.Reply, error) {
+		return nil, &plank.SendError{Endpoint: id, Op: "read", Sent: true, Err: io.EOF}
+	}
+	for n := range 3 {
+		run := instance("p1", plainService)
+		run.Born = run.Born.Add(time.Duration(n) * time.Second)
+		h.register(run)
+		assert.Assert(t, h.call("look").refusal.Code != plank.CodeQuarantined)
+		<-probed
+		time.Sleep(250 * time.Millisecond) // crashes at the same moment count once
+	}
+	sent := len(h.sent)
+	assert.Equal(t, h.call("look").refusal.Code, plank.CodeQuarantined)
+	assert.Equal(t, len(h.sent), sent)
+	h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
+	assert.Equal(t, h.callWith("look", func(c *plank.Call) { c.Body = []byte("other") }).status, http.StatusOK)
+}
--- a/internal/node/fingerprint.go
+++ b/internal/node/fingerprint.go
@@ -37,10 +37,3 @@
 	}
 	return plank.Fingerprint(fp)
 }
-
-// decodeSuspect decodes a peer's report of a request that crashed an endpoint.
-func decodeSuspect(x *wire.Suspect) poison.Entry {
-	return poison.Entry{
-		Print: decodeFingerprint(x.Print), Crashes: int(x.Crashes), Quarantined: x.Quarantined, Until: time.Unix(x.UntilUnix, 0),
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	scheduler    *grant.Scheduler
 	limiter      *limit.GossipLimiter
 	budgets      *front.Budgets
-	poison       *poison.Table
+	requests     *poison.RequestTable
 	parts        *poison.PartTable
 	broker       *front.Broker
 	paces        *pace.Table
@@ -155,8 +155,8 @@
 func (n *Node) buildState() {
 	n.state = &state{
 		wake:    func() { n.mesh.Wake() },
-		engines: make(map[plank.EndpointID]engineChange), suspects: make(map[plank.Fingerprint]suspectChange),
-		observations: make(map[poison.ObservationKey]observationChange), leaving: make(map[plank.Run]uint64), log: n.log,
+		engines: make(map[plank.EndpointID]engineChange), partCrashes: make(map[poison.ObservationKey]observationChange),
+		requestCrashes: make(map[poison.ObservationKey]observationChange), leaving: make(map[plank.Run]uint64), log: n.log,
 	}
 	n.view = view.New(n.viewChanged)
 	n.buildCold()
@@ -168,9 +168,9 @@
 	n.state.objects = make(map[string]uint64)
 	n.limiter = limit.NewGossipLimiter(n.clock, n.settings.Bootstrap, n.state.recordChange)
 	n.limiter.SetContended(n.settings.Contended)
-	n.poison = poison.New(n.clock, n.state.setSuspect)
-	n.parts = poison.NewPartTable(n.clock, n.state.setObservations, n.quarantineChanged)
-	n.state.view, n.state.limiter, n.state.poison, n.state.parts = n.view, n.limiter, n.poison, n.parts
+	n.requests = poison.NewRequestTable(n.clock, n.state.setRequestCrashes)
+	n.parts = poison.NewPartTable(n.clock, n.state.setPartCrashes, n.quarantineChanged)
+	n.state.view, n.state.limiter, n.state.requests, n.state.parts = n.view, n.limiter, n.requests, n.parts
 	n.state.inFlight = front.NewInFlight(func() { n.mesh.Wake() })
 	n.releaseTimes = newReleaseTimes()
 	bounds := n.settings.Bounds
@@ -336,8 +336,8 @@
 	}
 	server := front.New(front.Deps{
 		Domain: n.settings.Domain, View: n.view, Mesh: n.mesh, Reserver: n.broker, Chooser: n.chooser, Limiter: n.limiter, Budgets: n.budgets,
-		Health: n.health, Poison: n.poison, Parts: n.parts, InFlight: n.state.inFlight, Portions: n.portions(), Sender: n.gateSender(platform.NewSender(n.pool, n.clock)),
-		StopTime: n.exitTime, Stopping: n.calls, IsDown: isDown, Clock: n.clock, Metrics: n.registry, Log: n.log,
+		Health: n.health, Requests: n.requests, Parts: n.parts, InFlight: n.state.inFlight, Portions: n.portions(), Sender: n.gateSender(platform.NewSender(n.pool, n.clock)),
+		StopTime: n.exitTime, Stopping: n.calls, Probe: probe, Clock: n.clock, Metrics: n.registry, Log: n.log,
 	})
 	n.callers = n.newAccount("Callers", n.callerLimits)
 	n.callerListener = idle.WrapHTTP(callers, n.callers)
@@ -377,14 +377,14 @@
 	return 0
 }
 
-// isDown reports whether an endpoint accepts no connections.
-func isDown(inst plank.Instance) bool {
+// probe connects to an endpoint.
+func probe(inst plank.Instance) error {
 	conn, err := net.DialTimeout("tcp", inst.Addr, crashProbeTimeout)
 	if err != nil {
-		return true
+		return err
 	}
 	conn.Close()
-	return false
+	return nil
 }
 
 // serveReady answers the platform's readiness probe. The VM is ready while it is
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -42,7 +42,7 @@
 	view        *view.Publisher
 	limiter     *limit.GossipLimiter
 	inFlight    *front.InFlight
-	poison      *poison.Table
+	requests    *poison.RequestTable
 	parts       *poison.PartTable
 	table       *watch.Table
 	watchPolicy *watchPolicy
@@ -58,11 +58,9 @@
 	engines   map[plank.EndpointID]engineChange
 	// objects holds the number of the last change of each of the store's objects.
 	objects map[string]uint64
-	// suspects holds the poison entries with the numbers of their last changes.
-	suspects map[plank.Fingerprint]suspectChange
-	// observations holds the crash observations of prompt parts with the numbers of
-	// their last changes.
-	observations map[poison.ObservationKey]observationChange
+	// partCrashes and requestCrashes hold the crash observations of prompt parts and of
+	// requests with the numbers of their last changes.
+	partCrashes, requestCrashes map[poison.ObservationKey]observationChange
 	// leaving holds the endpoints that said themselves that they leave, with the
 	// numbers of the changes.
 	leaving map[plank.Run]uint64
@@ -82,11 +80,6 @@
 	change uint64
 }
 
-type suspectChange struct {
-	entry  poison.Entry
-	change uint64
-}
-
 type observationChange struct {
 	observation poison.Observation
 	change      uint64
@@ -134,17 +127,12 @@
 	if !opts.OmitEngines {
 		g.Engines = s.changedEngines(opts.AfterEngines)
 	}
-	for fp, c := range s.suspects {
-		if c.change > opts.AfterChange {
-			g.Suspects = append(g.Suspects, &wire.Suspect{
-				Print: formatFingerprint(fp), Crashes: uint32(c.entry.Crashes), Quarantined: c.entry.Quarantined, UntilUnix: c.entry.Until.Unix(),
-			})
-		}
-	}
 	now := s.clock.Now()
-	for _, c := range s.observations {
-		if c.change > opts.AfterChange {
-			g.CrashObservations = append(g.CrashObservations, encodeObservation(c.observation, now))
+	for _, observations := range []map[poison.ObservationKey]observationChange{s.partCrashes, s.requestCrashes} {
+		for _, c := range observations {
+			if c.change > opts.AfterChange {
+				g.CrashObservations = append(g.CrashObservations, encodeObservation(c.observation, now))
+			}
 		}
 	}
 	g.ColdEndpoints = s.changedCold(opts)
@@ -256,11 +244,6 @@
 			Revision: plank.Revision(o.Revision),
 		})
 	}
-	for _, x := range g.Suspects {
-		if e, changed := s.poison.Merge(decodeSuspect(x)); changed {
-			s.setSuspect(e) // VMs that the sender does not send to learn of it here
-		}
-	}
 	s.mergePaces(g.Paces, age)
 	for _, x := range g.LeavingEndpoints {
 		s.markLeaving(plank.Run{Endpoint: plank.EndpointID(x.Endpoint), Born: x.Born}, string(vm))
@@ -268,11 +251,16 @@
 	s.mergeCold(vm, g.ColdEndpoints, age)
 	if len(g.CrashObservations) > 0 {
 		now := s.clock.Now()
-		observations := make([]poison.Observation, 0, len(g.CrashObservations))
+		var ofParts, ofRequests []poison.Observation
 		for _, x := range g.CrashObservations {
-			observations = append(observations, decodeObservation(x, now.Add(-age)))
+			if o := decodeObservation(x, now.Add(-age)); o.Part != "" {
+				ofParts = append(ofParts, o)
+			} else {
+				ofRequests = append(ofRequests, o)
+			}
 		}
-		s.parts.Merge(observations)
+		s.parts.Merge(ofParts)
+		s.requests.Merge(ofRequests)
 	}
 }
 
@@ -283,37 +271,44 @@
 	s.engines[id] = engineChange{state: e, change: s.recordChange()}
 }
 
-// setSuspect publishes a request that crashed an endpoint.
-func (s *state) setSuspect(e poison.Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.suspects[e.Print] = suspectChange{entry: e, change: s.recordChange()}
+// setPartCrashes publishes crash observations of prompt parts.
+func (s *state) setPartCrashes(observations []poison.Observation) {
+	s.setObservations(s.partCrashes, observations, poison.MaxObservations)
+}
+
+// setRequestCrashes publishes crash observations of requests.
+func (s *state) setRequestCrashes(observations []poison.Observation) {
+	s.setObservations(s.requestCrashes, observations, poison.MaxRequestObservations)
 }
 
-// setObservations publishes crash observations of prompt parts.
-func (s *state) setObservations(observations []poison.Observation) {
+// setObservations adds crash observations to those that are published, of which there are
+// limit at most.
+func (s *state) setObservations(published map[poison.ObservationKey]observationChange, observations []poison.Observation, limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := s.recordChange()
 	for _, o := range observations {
 		// Two changes of an observation can arrive here in either order.
-		s.observations[o.Key()] = observationChange{o.Merged(s.observations[o.Key()].observation), change}
+		published[o.Key()] = observationChange{o.Merged(published[o.Key()].observation), change}
 	}
-	for key := range s.observations {
-		if len(s.observations) <= poison.MaxObservations {
+	for key := range published {
+		if len(published) <= limit {
 			break
 		}
-		delete(s.observations, key)
+		delete(published, key)
 	}
 }
 
 // expireObservations removes the crash observations that no longer count.
 func (s *state) expireObservations() {
 	s.parts.Expire()
+	s.requests.Expire()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	maps.DeleteFunc(s.observations, func(_ poison.ObservationKey, c observationChange) bool { return c.observation.IsExpired(now) })
+	isExpired := func(_ poison.ObservationKey, c observationChange) bool { return c.observation.IsExpired(now) }
+	maps.DeleteFunc(s.partCrashes, isExpired)
+	maps.DeleteFunc(s.requestCrashes, isExpired)
 }
 
 // markLeaving records and publishes that an endpoint leaves, as source says.
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -81,7 +81,10 @@
 		to.state.Merge("vm", "boot", g, age)
 	}
 	parts := []plank.PartID{"sound", "deadly"}
+	const request plank.Fingerprint = "\x01\xff"
 	for i := range 3 {
+		nodes[i%2].requests.RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, request)
+		nodes[1-i%2].requests.RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, request)
 		nodes[i%2].parts.RecordCrash(plank.Run{Endpoint: "e", Born: int64(i)}, plank.Fingerprint([]byte{byte(i)}), parts)
 		exchange(nodes[i%2], nodes[1-i%2], 0)
 		time.Sleep(250 * time.Millisecond) // crashes at the same moment count once
@@ -90,11 +93,17 @@
 		q, ok := n.parts.Lookup(parts)
 		assert.Assert(t, ok)
 		assert.Equal(t, len(q.Parts), 2)
+		crashes, quarantined := n.requests.Lookup(request)
+		assert.Assert(t, quarantined)
+		assert.Equal(t, crashes, 3)
 	}
+	nodes[0].requests.RecordServed(request)
 	nodes[0].parts.RecordBegun(parts[:1])
 	exchange(nodes[0], nodes[1], time.Minute)
 	q, ok := nodes[1].parts.Lookup(parts[1:])
 	assert.Assert(t, ok, "the part with which no answer began is no longer quarantined")
+	crashes, quarantined := nodes[1].requests.Lookup(request)
+	assert.Assert(t, !quarantined, "%d crashes of a request that was served since", crashes)
 	assert.Equal(t, len(q.Parts), 1)
 }
 
@@ -108,8 +117,8 @@
 	open := poison.Observation{Part: "sound", Crash: plank.Run{Endpoint: "e", Born: 1}, At: time.Now()}
 	cleared := open
 	cleared.Cleared = true
-	n.state.setObservations([]poison.Observation{cleared})
-	n.state.setObservations([]poison.Observation{open})
+	n.state.setPartCrashes([]poison.Observation{cleared})
+	n.state.setPartCrashes([]poison.Observation{open})
 	g, _ := n.state.Gossip(mesh.GossipOptions{})
 	assert.Equal(t, len(g.CrashObservations), 1)
 	assert.Assert(t, g.CrashObservations[0].Cleared)
--- a/internal/poison/part.go
+++ b/internal/poison/part.go
@@ -20,42 +20,47 @@
 	// crashSpacing is the time between two crashes of which both count. Crashes at the
 	// same moment have one cause, such as the loss of a rack.
 	crashSpacing = 200 * time.Millisecond
-	// partTTL is how long a crash counts against a prompt part. It is shorter than
-	// EntryTTL because a part is shared by many requests.
-	partTTL = time.Hour
+	// observationTTL is how long an observation counts.
+	observationTTL = time.Hour
 	// MaxObservations bounds the observations of a PartTable, all of which are sent to a VM
 	// that starts, and maxOpen those of one part that are not cleared.
 	MaxObservations = 512
 	maxOpen         = 16
-	// maxBegunParts bounds each of the two generations of parts with begun answers.
-	maxBegunParts = 4096
 )
 
-// An Observation records that a request with a prompt part was on an endpoint, and its
-// answer had not begun, when the endpoint crashed.
+// An Observation records that a request was on an endpoint, and its answer had not begun, when
+// the endpoint crashed. It is one of the request itself, or of a part of its prompt.
 type Observation struct {
+	// Part is empty in an observation of the request itself.
 	Part plank.PartID
 	// Crash is the run of the endpoint that the crash ended.
 	Crash plank.Run
 	// Print is the fingerprint of the request.
 	Print plank.Fingerprint
-	// BegunBefore is set if an answer to another request with the part had begun before.
+	// BegunBefore is set if an answer to another request with the part, or to an equal
+	// request, had begun before.
 	BegunBefore bool
-	// Cleared is set once an answer to a request with the part has begun since. The
-	// part does not crash endpoints then.
+	// Cleared is set once such an answer has begun since. The part, or the request, does not
+	// crash endpoints then.
 	Cleared bool
 	// At is the time of the crash.
 	At time.Time
 }
 
-// An ObservationKey identifies an observation on all VMs.
+// An ObservationKey identifies an observation on all VMs. Print is empty in that of a part.
 type ObservationKey struct {
 	Part  plank.PartID
 	Crash plank.Run
+	Print plank.Fingerprint
 }
 
 // Key returns the observation's key.
-func (o Observation) Key() ObservationKey { return ObservationKey{o.Part, o.Crash} }
+func (o Observation) Key() ObservationKey {
+	if o.Part == "" {
+		return ObservationKey{Crash: o.Crash, Print: o.Print}
+	}
+	return ObservationKey{Part: o.Part, Crash: o.Crash}
+}
 
 // Merged returns the observation with what another record of it tells. It does not matter
 // which of the two is older.
@@ -66,7 +71,7 @@
 }
 
 // IsExpired reports whether the observation no longer counts.
-func (o Observation) IsExpired(now time.Time) bool { return now.Sub(o.At) >= partTTL }
+func (o Observation) IsExpired(now time.Time) bool { return now.Sub(o.At) >= observationTTL }
 
 // A PartTable finds the prompt parts that crash endpoints: a part that crashes each
 // endpoint that begins to answer a request with it is present in each of these crashes,
@@ -85,8 +90,8 @@
 	// open holds the observations that are not cleared, by part, in order of their time.
 	// No list is empty.
 	open map[plank.PartID][]*Observation
-	// begun and begunEarlier hold the parts with which answers have begun.
-	begun, begunEarlier map[plank.PartID]struct{}
+	// begun holds the parts with which answers have begun.
+	begun recentSet[plank.PartID]
 	// quarantined is replaced, not modified.
 	quarantined []Quarantine
 }
@@ -111,7 +116,6 @@
 	return &PartTable{
 		clock: clock, onChange: onChange, onQuarantine: onQuarantine,
 		observations: make(map[ObservationKey]*Observation), open: make(map[plank.PartID][]*Observation),
-		begun: make(map[plank.PartID]struct{}),
 	}
 }
 
@@ -150,7 +154,7 @@
 	t.update(func(time.Time) []Observation {
 		var changed []Observation
 		for _, part := range parts {
-			t.remember(part)
+			t.begun.add(part)
 			for _, o := range t.open[part] {
 				o.Cleared = true
 				changed = append(changed, *o)
@@ -232,7 +236,7 @@
 		if len(t.observations) >= MaxObservations {
 			t.evict()
 		}
-		other.BegunBefore = other.BegunBefore || t.hasBegun(other.Part)
+		other.BegunBefore = other.BegunBefore || t.begun.has(other.Part)
 		o = &other
 		t.observations[key] = o
 		if !o.Cleared {
@@ -249,21 +253,6 @@
 	return *o, *o != before
 }
 
-// remember adds a part to those with which answers have begun. The lock is held.
-func (t *PartTable) remember(part plank.PartID) {
-	if len(t.begun) >= maxBegunParts {
-		t.begun, t.begunEarlier = make(map[plank.PartID]struct{}), t.begun
-	}
-	t.begun[part] = struct{}{}
-}
-
-// hasBegun reports whether an answer with the part has begun. The lock is held.
-func (t *PartTable) hasBegun(part plank.PartID) bool {
-	_, recent := t.begun[part]
-	_, earlier := t.begunEarlier[part]
-	return recent || earlier
-}
-
 // close removes an observation from those that are not cleared. The lock is held.
 func (t *PartTable) close(o *Observation) {
 	rest := slices.DeleteFunc(t.open[o.Part], func(other *Observation) bool { return other == o })
@@ -361,7 +350,7 @@
 func (t *PartTable) isExplained(c plank.Run, found []Quarantine) bool {
 	return slices.ContainsFunc(found, func(q Quarantine) bool {
 		return !slices.ContainsFunc(q.Parts, func(part plank.PartID) bool {
-			o := t.observations[ObservationKey{part, c}]
+			o := t.observations[ObservationKey{Part: part, Crash: c}]
 			return o == nil || o.Cleared
 		})
 	})
