Resets during an upload no longer look like the end of an answer

Cause: Linux tells the pending error of a socket once. The body of the request is written in the background; where that write takes the reset, the read after it meets a regular end, which is the end of an answer without a length. The error of the write was dropped.

Why it works: streamConn remembers a write that failed, and waits for one that is about to return, before it lets a read report the end of the connection. It is used by the pool and, by conns.DialContext, by serve's transports. Ruled out: the order of the two errors (EPIPE tells that the endpoint closed first), since a close in order in the middle of an upload does not tell a whole answer from a part either.

--- a/internal/conns/body.go
+++ b/internal/conns/body.go
@@ -80,11 +80,11 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	tcp := c.tcp()
+	if tcp == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -62,8 +62,8 @@
 // A Pool sends requests and keeps idle connections for reuse. It is safe for
 // concurrent use.
 type Pool struct {
-	opts   Options
-	dialer net.Dialer
+	opts Options
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu sync.Mutex
 	// idle holds connections with no request in progress, the most recently used
@@ -103,7 +103,8 @@
 
 // New returns an empty pool.
 func New(opts Options) *Pool {
-	return &Pool{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout, Control: SetUserTimeout}, idle: make(map[Key][]*conn)}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout, Control: SetUserTimeout}
+	return &Pool{opts: opts, dial: DialContext(dialer), idle: make(map[Key][]*conn)}
 }
 
 // SetUserTimeout is a net.Dialer.Control function that sets the time for which sent
@@ -123,7 +124,7 @@
 	c := p.take(key, r.ID)
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, key); err != nil {
+		if c, err = p.connect(ctx, key); err != nil {
 			return nil, err
 		}
 	}
@@ -148,9 +149,9 @@
 	return resp, nil
 }
 
-// dial opens a connection to the address of key.
-func (p *Pool) dial(ctx context.Context, key Key) (*conn, error) {
-	nc, err := p.dialer.DialContext(ctx, "tcp", key.Addr)
+// connect opens a connection to the address of key.
+func (p *Pool) connect(ctx context.Context, key Key) (*conn, error) {
+	nc, err := p.dial(ctx, "tcp", key.Addr)
 	if err != nil {
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "dial", Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
@@ -203,7 +204,8 @@
 		if _, err := c.Conn.Write(r.Body); err == nil {
 			close(written)
 		}
-		// After an error, reading the answer fails as well and closes the connection.
+		// After an error, reading the answer fails as well (see streamConn), unless the
+		// answer is whole. The connection is closed then, as not all was written.
 	}()
 	return written, nil
 }
@@ -239,11 +241,21 @@
 	}
 }
 
+// tcp returns the TCP connection that c uses, or nil if it uses another kind.
+func (c *conn) tcp() *net.TCPConn {
+	inner := c.Conn
+	if s, ok := inner.(*streamConn); ok {
+		inner = s.Conn
+	}
+	tcp, _ := inner.(*net.TCPConn)
+	return tcp
+}
+
 // abandon closes the connection with a request on it whose answer is not whole. It resets the
 // connection, so that bytes that have not arrived are discarded: after a partition they would
 // reach the endpoint seconds after the caller was answered.
 func (c *conn) abandon() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp := c.tcp(); tcp != nil {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 	c.Close()
--- a/internal/conns/pool_test.go
+++ b/internal/conns/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -190,3 +192,111 @@
 		})
 	}
 }
+
+// An answer without a length that was reset while its request was still being written reached
+// callers as whole: the write took the error of the connection, and the read after it an end.
+func TestUnframedAnswerCutDuringItsRequestIsWhole(t *testing.T) {
+	const bodyBytes = 4 << 20
+	transport := &http.Transport{DialContext: conns.DialContext(&net.Dialer{}), DisableKeepAlives: true}
+	clients := map[string]func(ctx context.Context, addr string) (*http.Response, error){
+		"pool": func(ctx context.Context, addr string) (*http.Response, error) {
+			return newPool().Do(ctx, conns.Key{Addr: addr, Endpoint: "e"}, conns.Request{
+				Method: "POST", Head: fmt.Appendf(nil, "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n", bodyBytes), Body: make([]byte, bodyBytes),
+			})
+		},
+		"transport": func(ctx context.Context, addr string) (*http.Response, error) {
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr, bytes.NewReader(make([]byte, bodyBytes)))
+			if err != nil {
+				return nil, err
+			}
+			return transport.RoundTrip(r)
+		},
+	}
+	reset := func(c *net.TCPConn) {
+		_ = c.SetLinger(0) // fails only if the connection is gone
+		c.Close()
+	}
+	pause := func(d time.Duration, end func(c *net.TCPConn)) func(*net.TCPConn) {
+		return func(c *net.TCPConn) {
+			time.Sleep(d)
+			end(c)
+		}
+	}
+	readAll := func(c *net.TCPConn) {
+		_, _ = io.CopyN(io.Discard, c, bodyBytes) // the test sees the answer
+	}
+	for _, test := range []struct {
+		name    string
+		framing string
+		begin   func(c *net.TCPConn) // before the answer; nil for nothing
+		end     func(c *net.TCPConn) // after it
+		whole   bool
+		// poolOnly is set if a transport may take another error for that of the answer, or
+		// cannot tell since it writes in pieces.
+		poolOnly bool
+	}{
+		{"reset", "", nil, reset, false, false},
+		{"reset after 2 ms", "", nil, pause(2*time.Millisecond, reset), false, false},
+		{"reset after 20 ms", "", nil, pause(20*time.Millisecond, reset), false, false},
+		{"reset after 100 ms", "", nil, pause(100*time.Millisecond, reset), false, false},
+		{"closed", "", nil, func(c *net.TCPConn) { c.Close() }, false, false},
+		{"half-closed without reading on", "", nil, func(c *net.TCPConn) {
+			_ = c.CloseWrite() // fails only if the connection is gone
+			time.Sleep(time.Second)
+		}, false, true},
+		{"closed after the request", "", readAll, func(c *net.TCPConn) { c.Close() }, true, false},
+		{"answered before it has read the request", "", nil, func(c *net.TCPConn) {
+			readAll(c)
+			c.Close()
+		}, true, false},
+		{"reset after a whole answer with a length", "Content-Length: 4\r\n", nil, pause(20*time.Millisecond, reset), true, true},
+	} {
+		for client, send := range clients {
+			if client == "transport" && test.poolOnly {
+				continue
+			}
+			t.Run(test.name+" "+client, func(t *testing.T) {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				defer ln.Close()
+				go func() {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					// Byte by byte, so that the body stays unread.
+					head := make([]byte, 1)
+					for n := 0; n < 4; {
+						if _, err := c.Read(head); err != nil {
+							return
+						}
+						if head[0] == '\r' || head[0] == '\n' {
+							n++
+						} else {
+							n = 0
+						}
+					}
+					tcp := c.(*net.TCPConn)
+					if test.begin != nil {
+						test.begin(tcp)
+					}
+					if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+test.framing+"\r\npart"); err != nil {
+						return
+					}
+					test.end(tcp)
+				}()
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				begun := time.Now()
+				resp, err := send(ctx, ln.Addr().String())
+				if err == nil {
+					defer resp.Body.Close()
+					_, err = io.ReadAll(resp.Body)
+				}
+				assert.Equal(t, err == nil, test.whole, "%v", err)
+				assert.Assert(t, time.Since(begun) < time.Second, "told after %v", time.Since(begun))
+			})
+		}
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/conns"
 	"knapweedplank.org/plank/internal/ledger"
 	"knapweedplank.org/plank/pkg/notes"
 )
@@ -43,7 +45,7 @@
 // one the transport would send the call again if it found the connection closed.
 func newClient(once bool) *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: once, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
+		Transport:     &http.Transport{DialContext: conns.DialContext(&net.Dialer{}), DisableKeepAlives: once, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
