Heads of answers and events count as memory held for callers

Cause: the account of what a VM holds for callers had the bodies of answers, not their heads, of which one of many short lines costs 1 MB once parsed, nor the buffers of events. Beside it: a large buffer without room evicted ordinary connections in vain, small answers failed at the common limit of large ones, and nothing bounded the calls on an endpoint without engines.

Why it works: a head is charged as it arrives, before it is parsed, and has 256 lines at most; events are charged before their buffer grows. What exceeds 4 KB waits for room in three quarters of the account and evicts nothing under 128 KB. Calls beyond max_conns of an endpoint are refused at once, as it would reset them.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/pause"
 )
 
 // The costs of what callers hold, in bytes of memory.
@@ -35,6 +37,8 @@
 	smallReserve   = 4
 	largeReserve   = 8
 	evictedReserve = 2
+	// spareReserve is the part of the budget, 1/spareReserve, that large answers leave free.
+	spareReserve = 4
 )
 
 // minBlocked is the time from which on a write counts as waiting for its caller. Writes to
@@ -237,7 +241,11 @@
 
 // Grow adds n bytes to what the connection holds. It evicts others as necessary, and reports
 // false if the connection is itself evicted or there is no room, in which case nothing is added.
-func (c *Conn) Grow(n int64) bool {
+func (c *Conn) Grow(n int64) bool { return c.grow(n, false) }
+
+// grow adds n bytes as Grow does. Those of a large answer leave a part of the budget, and the
+// reserve beyond it, to others.
+func (c *Conn) grow(n int64, isLargeAnswer bool) bool {
 	if c == nil {
 		return true
 	}
@@ -252,19 +260,23 @@
 	a.used += n
 	var evictions []eviction
 	ok := true
-	small, reserve := limits.Bytes/smallReserve, limits.Bytes/largeReserve
-	if c.bytes <= smallRequest {
+	small, reserve, limit := limits.Bytes/smallReserve, limits.Bytes/largeReserve, limits.Bytes
+	isSmall := !isLargeAnswer && c.bytes <= smallRequest
+	switch {
+	case isSmall:
 		reserve = limits.Bytes / evictedReserve
+	case isLargeAnswer:
+		limit -= limits.Bytes / spareReserve
 	}
-	for a.used-a.evicted > limits.Bytes {
+	for a.used-a.evicted > limit {
 		minBytes := int64(0)
-		isWithinReserve := a.used-a.evicted <= limits.Bytes+small
-		if isWithinReserve {
+		isWithinReserve := a.used-a.evicted <= limit+small
+		if isWithinReserve || isLargeAnswer { // it may need more than small ones hold together
 			minBytes = smallRequest + 1
 		}
 		v := a.pickVictim(c, now, limits.EvictsIdle, minBytes)
 		if v == nil {
-			ok = c.bytes <= smallRequest && isWithinReserve
+			ok = isSmall && isWithinReserve
 			break
 		}
 		if v == c {
@@ -286,6 +298,28 @@
 	return ok
 }
 
+// ErrNoMemory is the error of an answer for which there is no memory.
+var ErrNoMemory = errors.New("callers hold too much of the VM's memory for the answer")
+
+// waitInterval is the interval at which a request that waits for memory tries again.
+const waitInterval = 20 * time.Millisecond
+
+// Wait adds n bytes once there is room. It returns ErrNoMemory if ctx ends before.
+func (c *Conn) Wait(ctx context.Context, n int64) error { return c.wait(ctx, n, false) }
+
+// WaitLarge adds n bytes of a large answer once there is room. A part of the budget stays free
+// for ordinary requests and answers, because faulty endpoints may send large ones to many callers.
+func (c *Conn) WaitLarge(ctx context.Context, n int64) error { return c.wait(ctx, n, true) }
+
+func (c *Conn) wait(ctx context.Context, n int64, isLargeAnswer bool) error {
+	for !c.grow(n, isLargeAnswer) {
+		if !pause.For(ctx, waitInterval) {
+			return ErrNoMemory
+		}
+	}
+	return nil
+}
+
 // Shrink removes n bytes from what the connection holds.
 func (c *Conn) Shrink(n int64) {
 	if c == nil {
--- a/internal/budget/account_test.go
+++ b/internal/budget/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -456,3 +457,30 @@
 	bytes, conns = a.Usage()
 	assert.Assert(t, bytes == 0 && conns == 0, "%d bytes, %d connections", bytes, conns)
 }
+
+// Guards against large answers that take the room of ordinary requests, or end requests of
+// ordinary size in vain: answers of faulty endpoints without an end filled the account.
+func TestLargeAnswersLeaveRoomForOrdinaryRequests(t *testing.T) {
+	a := newTestAccount(t)
+	ordinary := make([]*Conn, 20)
+	for n := range ordinary {
+		ordinary[n] = a.open()
+		ordinary[n].StartHead()
+	}
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	granted := int64(0)
+	for range 100 {
+		h := a.open()
+		h.StartHead()
+		assert.Assert(t, h.StartBody() && h.StartServing())
+		for size := int64(64 << 10); h.WaitLarge(canceled, size) == nil; size *= 2 {
+			granted += size
+		}
+		a.tick()
+	}
+	assert.Assert(t, granted > a.limits.Bytes/2 && granted <= a.limits.Bytes-a.limits.Bytes/spareReserve, "%d", granted)
+	assert.Equal(t, len(a.evictions), 0)
+	assert.Assert(t, a.sendBody(a.open(), 55<<10, 55<<10))
+	assert.ErrorIs(t, a.open().WaitLarge(canceled, 64<<10), ErrNoMemory)
+}
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 )
 
 // Limits of connections.
@@ -39,7 +40,9 @@
 	maxStrayAnswers = 4
 	// maxHeadBytes bounds the head of an answer, at four times the limit that
 	// the users' sites set for requests.
-	maxHeadBytes    = 64 << 10
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds its lines, each of which costs more than its bytes.
+	maxHeadLines    = 256
 	readBufferBytes = 4 << 10
 	// maxCarried is the number of requests of a connection whose IDs are kept. A late
 	// copy of an answer before these would have met one of them.
@@ -89,6 +92,8 @@
 	// Matches reports whether an answer with this header belongs to the
 	// request. If nil, every answer does.
 	Matches func(http.Header) bool
+	// Held is charged for the heads of answers until the request of the caller ends; it may be nil.
+	Held *budget.Conn
 }
 
 // A conn is one connection, which carries one request at a time.
@@ -136,7 +141,7 @@
 		c.abandon()
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "write", Sent: true, Err: err}
 	}
-	resp, stray, err := c.read(r)
+	resp, stray, err := c.read(ctx, r)
 	if err != nil {
 		stop()
 		c.abandon()
@@ -162,27 +167,56 @@
 	return &conn{Conn: nc, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
-// errHeadTooLong reports an answer whose head exceeds maxHeadBytes.
-var errHeadTooLong = errors.New("head of the answer longer than 64 KiB")
+// errHeadTooLong reports an answer whose head exceeds maxHeadBytes or maxHeadLines.
+var errHeadTooLong = errors.New("head of the answer longer than 64 KiB or 256 lines")
 
-// A headReader bounds the bytes read from a connection while limited is set, which
-// is while the head of an answer is read.
+// A headReader bounds and charges the heads that are read from a connection: what is read
+// between start and stop.
 type headReader struct {
-	r         io.Reader
-	limited   bool
-	remaining int
+	r     io.Reader
+	ctx   context.Context // of the request; nil after stop
+	held  *budget.Conn
+	head  budget.Head
+	lines int
 }
 
+// start begins a head, the first bytes of which may have been read together with what is before it.
+func (h *headReader) start(ctx context.Context, held *budget.Conn, read []byte) error {
+	h.ctx, h.held, h.head, h.lines = ctx, held, budget.Head{}, 0
+	return h.count(read)
+}
+
+// stop ends the counting.
+func (h *headReader) stop() { h.ctx, h.held = nil, nil }
+
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.limited && h.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
 	n, err := h.r.Read(p)
-	h.remaining -= n
+	if h.ctx != nil && n > 0 {
+		if err := h.count(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
+// count counts and charges what was read.
+func (h *headReader) count(p []byte) error {
+	n, lines := h.head.Add(p)
+	if n == 0 {
+		return nil
+	}
+	h.lines += lines
+	if h.head.Bytes > maxHeadBytes || h.lines > maxHeadLines {
+		return errHeadTooLong
+	}
+	cost := budget.HeadCost(n, lines)
+	if h.head.Bytes <= readBufferBytes {
+		return h.held.Wait(h.ctx, cost)
+	}
+	return h.held.WaitLarge(h.ctx, cost)
+}
+
 // write sends the request. The returned channel is closed once all of it is written.
 // A long body is written in the background while the answer is read, because
 // endpoints may answer before they have read it.
@@ -213,11 +247,17 @@
 // read returns the answer to the request. Answers to other requests that arrive
 // before it are discarded. The bool reports whether there were any; in this case the
 // connection must not be reused, since more may follow.
-func (c *conn) read(r Request) (*http.Response, bool, error) {
+func (c *conn) read(ctx context.Context, r Request) (*http.Response, bool, error) {
 	req := &http.Request{Method: r.Method}
-	defer func() { c.head.limited = false }()
+	defer c.head.stop()
 	for stray := 0; ; stray++ {
-		c.head.limited, c.head.remaining = true, maxHeadBytes
+		buffered, err := c.br.Peek(c.br.Buffered())
+		if err == nil {
+			err = c.head.start(ctx, r.Held, buffered)
+		}
+		if err != nil {
+			return nil, false, err
+		}
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, false, err
@@ -237,7 +277,7 @@
 		if resp.Close || stray == maxStrayAnswers {
 			return nil, false, errors.New("answer belongs to another request")
 		}
-		c.head.limited = false
+		c.head.stop()
 		if err := skip(resp); err != nil {
 			return nil, false, err
 		}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -5,29 +5,36 @@
 	"errors"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"knapweedplank.org/plank/internal/budget"
-	"knapweedplank.org/plank/internal/pause"
 )
 
 // Limits, in bytes, of answers that are read whole before they are forwarded.
 const (
 	// maxBodyBytes bounds one answer.
 	maxBodyBytes = 8 << 20
-	// maxTotalBodyBytes bounds the buffers of all answers being read. The smallest
-	// VMs in use have 184 MB of memory.
-	maxTotalBodyBytes = 32 << 20
+	// maxTotalBodyBytes bounds the buffers of all answers being read, but for small ones. It is
+	// less than large answers get on the smallest VMs, of 144 MB: a call that waits for memory
+	// keeps a connection of its endpoint from others.
+	maxTotalBodyBytes = 20 << 20
+	// smallBytes is the size of a buffer up to which an answer, or an event, is read whatever
+	// other answers hold. The users' plain answers have 800 bytes, and their events fewer.
+	smallBytes = initialBufferBytes
 	// initialBufferBytes is the size that a buffer starts with.
 	initialBufferBytes = 4 << 10
 )
 
 var (
 	errBodyTooLong   = errors.New("answer longer than 8 MiB")
-	errTotalTooLarge = errors.New("answers being read exceed 32 MiB in total")
-	errNoMemory      = errors.New("callers hold too much of the VM's memory for the answer")
+	errTotalTooLarge = errors.New("answers being read exceed 20 MiB in total")
 )
 
+// isOutOfMemory reports whether an attempt failed for want of memory here, which says nothing of
+// its endpoint.
+func isOutOfMemory(err error) bool {
+	return errors.Is(err, budget.ErrNoMemory) || errors.Is(err, errTotalTooLarge)
+}
+
 // A bodyReader reads whole answers with a bound on their total memory, since a
 // faulty endpoint may send without end. It is safe for concurrent use.
 type bodyReader struct {
@@ -44,17 +51,14 @@
 	for {
 		if len(buf) == cap(buf) {
 			old := int64(cap(buf))
-			size := max(initialBufferBytes, 2*old)
-			if size > 2*maxBodyBytes {
-				held.Shrink(old)
-				return nil, errBodyTooLong
-			}
-			if !waitForMemory(ctx, held, size) {
+			// One byte more than the limit, so that a longer answer is seen.
+			size := min(max(initialBufferBytes, 2*old), maxBodyBytes+1)
+			if err := waitForBuffer(ctx, held, size, size); err != nil {
 				held.Shrink(old)
-				return nil, errNoMemory
+				return nil, err
 			}
 			allocated += size
-			if b.allocated.Add(size) > maxTotalBodyBytes {
+			if b.allocated.Add(size) > maxTotalBodyBytes && size > smallBytes {
 				held.Shrink(old + size)
 				return nil, errTotalTooLarge
 			}
@@ -77,16 +81,11 @@
 	}
 }
 
-// memoryPoll is the interval at which a call whose answer finds no memory tries again.
-const memoryPoll = 20 * time.Millisecond
-
-// waitForMemory charges n bytes to held once there is room. It reports false if ctx ends
-// before.
-func waitForMemory(ctx context.Context, held *budget.Conn, n int64) bool {
-	for !held.Grow(n) {
-		if !pause.For(ctx, memoryPoll) {
-			return false
-		}
+// waitForBuffer charges n bytes to held once there is room for them, for a buffer that has size
+// bytes then.
+func waitForBuffer(ctx context.Context, held *budget.Conn, n, size int64) error {
+	if size <= smallBytes {
+		return held.Wait(ctx, n)
 	}
-	return true
+	return held.WaitLarge(ctx, n)
 }
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -39,6 +39,7 @@
 		{"above the limit", bytes.NewReader(make([]byte, maxBodyBytes+1)), 0, 0, errBodyTooLong},
 		{"without end", endless{}, 0, 0, errBodyTooLong},
 		{"without end, total limit reached", endless{}, maxTotalBodyBytes - maxBodyBytes, 0, errTotalTooLarge},
+		{"small, total limit exceeded by others", bytes.NewReader(make([]byte, 800)), maxTotalBodyBytes + 1, 800, nil},
 		{"cut", io.MultiReader(bytes.NewReader(make([]byte, 9)), cutReader{}), 0, 9, errCut},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -109,7 +109,7 @@
 
 // exclusions counts the endpoints of a service that a choice left out.
 type exclusions struct {
-	leaving, paused, outOfService, cold int
+	leaving, paused, outOfService, cold, full int
 }
 
 // add counts an endpoint if it leaves or wants a pause, and reports whether it does.
@@ -139,6 +139,9 @@
 	if x.cold > 0 {
 		fields["cold"] = x.cold
 	}
+	if x.full > 0 {
+		fields["full"] = x.full
+	}
 }
 
 // logFields returns the log fields of a choice.
--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -365,10 +365,10 @@
 		res.MarkAdapterMissing()
 	case a.result == unsent && !isOutOfService(a.err):
 		res.MarkFailed(false)
-	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx) && !errors.Is(a.err, errNoMemory):
+	case (a.result == broken || a.result == failed) && !stalled.Load() && !isStopping(ctx) && !isOutOfMemory(a.err):
 		res.MarkFailed(true)
 	}
-	a.healthRecorded = stalled.Load() || isStopping(ctx) || errors.Is(a.err, errNoMemory)
+	a.healthRecorded = stalled.Load() || isStopping(ctx) || isOutOfMemory(a.err)
 	s.recordHealth(j, &a)
 	return a.result, e
 }
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -133,6 +133,7 @@
 	var replicas []pick.Replica
 	var excluded exclusions
 	v, hash := s.deps.View.Load(), evac.CallHash(j.call.ID)
+	maxConns := v.Manifest.Services[j.service].MaxConns
 	for _, inst := range v.Endpoints(j.service) {
 		if excluded.addOut(inst, v) || excluded.add(inst, s.deps.Health) {
 			continue
@@ -142,6 +143,10 @@
 			excluded.cold++
 			continue
 		}
+		if maxConns > 0 && s.deps.InFlight.Count(inst.ID) >= maxConns {
+			excluded.full++ // it would reset the connection
+			continue
+		}
 		paces := s.deps.Chooser.Paces
 		replicas = append(replicas, pick.Replica{
 			Pace: paces.Pace(j.service, inst.Run()), Cold: isCold,
@@ -224,8 +229,8 @@
 	switch {
 	case a.result == served && isStream:
 		a.forwarded = true
-		a.result, a.err = s.relay(j, p, a, onFirstEvent)
-		a.healthRecorded = a.healthRecorded || isStopping(ctx)
+		a.result, a.err = s.relay(ctx, j, p, a, onFirstEvent)
+		a.healthRecorded = a.healthRecorded || isStopping(ctx) || isOutOfMemory(a.err)
 	case (a.result == served || a.result == failed) && p.begun:
 		a.result, a.err = broken, &resumeError{a.reply.Status}
 	}
@@ -262,7 +267,7 @@
 	}
 	j.mayHaveRun = true
 	// An attempt that was cut, or whose answer found no memory here, says nothing of the endpoint.
-	a.healthRecorded = isStopping(ctx) || errors.Is(a.err, errNoMemory)
+	a.healthRecorded = isStopping(ctx) || isOutOfMemory(a.err)
 	switch {
 	case a.err != nil || a.reply.Encoded || !a.reply.Stamped:
 		return broken
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -32,6 +32,9 @@
 	plainService plank.ServiceID = "plain"
 )
 
+// maxConns is the number of connections that a plain endpoint takes.
+const maxConns = 20
+
 // A harness is a Server whose holder and endpoints are functions.
 type harness struct {
 	*front.Server
@@ -97,7 +100,7 @@
 		Version: 1, Routes: []plank.Route{route("ask", plank.Streaming, modelService), route("look", plank.Idempotent, plainService)},
 		Services: map[plank.ServiceID]plank.Service{
 			modelService: {ID: modelService, Pool: &plank.EnginePool{Slots: 4, KVCapacity: 100000, MaxAdapters: 4}},
-			plainService: {ID: plainService},
+			plainService: {ID: plainService, MaxConns: maxConns},
 		},
 	})
 	h.register(instance("e1", modelService), instance("e2", modelService), instance("p1", plainService), instance("p2", plainService))
@@ -448,3 +451,31 @@
 	h.send = func(plank.EndpointID) (*plank.Reply, error) { return stream(), nil }
 	assert.Equal(t, h.callWith("look", func(c *plank.Call) { c.Body = []byte("other") }).status, http.StatusOK)
 }
+
+// An endpoint that holds its calls got more of them than it takes connections, without a bound.
+func TestEndpointGetsMoreCallsThanItTakesConnections(t *testing.T) {
+	const calls = 3 * maxConns
+	h := newHarness(t)
+	h.register(instance("p1", plainService))
+	release := make(chan struct{})
+	h.send = func(plank.EndpointID) (*plank.Reply, error) {
+		<-release
+		return stream(), nil
+	}
+	var all sync.WaitGroup
+	answers := make(chan *answer, calls)
+	for range calls {
+		all.Go(func() { answers <- h.call("look") })
+		time.Sleep(time.Millisecond) // one after the other
+	}
+	for range calls - maxConns {
+		a := <-answers
+		assert.Equal(t, a.refusal.Code, plank.CodeNoEndpoint)
+		assert.Equal(t, a.refusal.Ran, plank.NotRun)
+		assert.Assert(t, a.refusal.RetryAfter > 0)
+	}
+	assert.Equal(t, len(h.sent), maxConns)
+	close(release)
+	all.Wait()
+	assert.Equal(t, h.call("look").status, http.StatusOK)
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"knapweedplank.org/plank"
+	"knapweedplank.org/plank/internal/budget"
 	"knapweedplank.org/plank/internal/sse"
 )
 
@@ -56,8 +58,10 @@
 
 // relay forwards the events of an attempt until its stream ends. It calls onFirstEvent at
 // the first one.
-func (s *Server) relay(j *job, p *progress, a *attempt, onFirstEvent func()) (result, error) {
-	events := sse.New(a.reply.Body)
+func (s *Server) relay(ctx context.Context, j *job, p *progress, a *attempt, onFirstEvent func()) (result, error) {
+	held := budget.FromContext(ctx)
+	// The buffer doubles when it grows.
+	events := sse.New(a.reply.Body, func(n int64) error { return waitForBuffer(ctx, held, n, 2*n) })
 	defer s.recordLongestPause(p)
 	for {
 		ev, err := events.Next()
--- a/internal/idle/held.go
+++ b/internal/idle/held.go
@@ -1,7 +1,6 @@
 package idle
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -26,38 +25,6 @@
 	retryAfter = time.Second
 )
 
-// A head counts the bytes and lines of a request's head as they arrive.
-type head struct {
-	bytes   int
-	isText  bool // a line that is not empty has arrived
-	inLine  bool // more than a CR has arrived of the current line
-	isWhole bool
-}
-
-// add counts the next bytes of a request and returns how many bytes and lines of them belong
-// to its head. The head ends with the first empty line after one that is not empty.
-func (h *head) add(p []byte) (n, lines int) {
-	for n < len(p) && !h.isWhole {
-		i := bytes.IndexByte(p[n:], '\n')
-		if i < 0 {
-			if rest := p[n:]; len(rest) > 1 || rest[0] != '\r' {
-				h.inLine = true
-			}
-			n = len(p)
-			break
-		}
-		line := p[n : n+i]
-		isEmpty := !h.inLine && (len(line) == 0 || len(line) == 1 && line[0] == '\r')
-		h.isWhole = isEmpty && h.isText
-		h.isText = h.isText || !isEmpty
-		h.inLine = false
-		n += i + 1
-		lines++
-	}
-	h.bytes += n
-	return n, lines
-}
-
 // errRefused ends the reading of a connection whose request was refused. It is a read error
 // of the connection, to which the http.Server does not answer.
 var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request was refused")}
@@ -92,8 +59,8 @@
 	}
 	if len(p) > 0 {
 		if !c.listener.isHTTP {
-			if !c.head.isText { // the first byte
-				c.head.isText = true
+			if !c.head.HasText { // the first byte
+				c.head.HasText = true
 				c.held.StartServing()
 			}
 			return nil
@@ -102,10 +69,10 @@
 			c.held.Progress()
 			return nil
 		}
-		n, lines := c.head.add(p)
+		n, lines := c.head.Add(p)
 		switch {
 		case n == 0: // after the head
-		case c.head.bytes > c.held.Limits().MaxHeader:
+		case c.head.Bytes > c.held.Limits().MaxHeader:
 			return c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 		case !c.held.Grow(budget.HeadCost(n, lines)):
 			return c.refuse(http.StatusServiceUnavailable)
@@ -113,7 +80,7 @@
 		return nil
 	}
 	// A head that has arrived whole is refused by the handler.
-	if phase, isEvicted := c.held.Phase(); readErr != nil && isEvicted && phase == budget.PhaseHead && !c.head.isWhole {
+	if phase, isEvicted := c.held.Phase(); readErr != nil && isEvicted && phase == budget.PhaseHead && !c.head.IsWhole {
 		return c.refuse(http.StatusServiceUnavailable)
 	}
 	return nil
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -110,7 +110,7 @@
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		c.setBusy(false)
-		c.head = head{}
+		c.head = budget.Head{}
 		c.held.SetIdle()
 	}
 }
@@ -147,7 +147,7 @@
 	net.Conn
 	listener *Listener
 	held     *budget.Conn
-	head     head // of the request that is arriving; used by the server's goroutine only
+	head     budget.Head // of the request that is arriving; used by the server's goroutine only
 	// isRefused is set once a refusal was written here instead of by the server.
 	isRefused bool
 
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -22,13 +22,20 @@
 // A Splitter splits a stream into events.
 type Splitter struct {
 	r        io.Reader
+	grow     func(n int64) error
 	buf      []byte // read and not yet returned
 	consumed int    // bytes of buf that were returned by the last call
 	err      error
 }
 
-// New returns a splitter that reads from r.
-func New(r io.Reader) *Splitter { return &Splitter{r: r, buf: make([]byte, 0, 1024)} }
+// initialBytes is the size that the buffer of a splitter starts with.
+const initialBytes = 1 << 10
+
+// New returns a splitter that reads from r. It calls grow before its buffer grows by n bytes, and
+// ends the stream with the error that grow returns.
+func New(r io.Reader, grow func(n int64) error) *Splitter {
+	return &Splitter{r: r, grow: grow, buf: make([]byte, 0, initialBytes)}
+}
 
 // Next returns the next event. At the end of the stream it returns io.EOF, or
 // io.ErrUnexpectedEOF if the stream ends within an event. It returns
@@ -57,7 +64,10 @@
 
 func (s *Splitter) read() {
 	if len(s.buf) == cap(s.buf) {
-		s.buf = append(s.buf, 0)[:len(s.buf)]
+		if s.err = s.grow(int64(cap(s.buf))); s.err != nil {
+			return
+		}
+		s.buf = append(make([]byte, 0, 2*cap(s.buf)), s.buf...)
 	}
 	n, err := s.r.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -1,6 +1,7 @@
 package sse_test
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -26,7 +27,7 @@
 	} {
 		for name, r := range map[string]io.Reader{"whole": strings.NewReader(test.in), "byte by byte": iotest.OneByteReader(strings.NewReader(test.in))} {
 			t.Run(test.name+" "+name, func(t *testing.T) {
-				s := sse.New(r)
+				s := sse.New(r, func(int64) error { return nil })
 				var got, ids []string
 				for {
 					e, err := s.Next()
@@ -43,6 +44,26 @@
 	}
 }
 
+// Guards against events that grow without being counted: streams on many endpoints filled the
+// memory with events that did not end.
+func TestSplitterCountsItsBuffer(t *testing.T) {
+	errFull := errors.New("full")
+	counted := int64(0)
+	s := sse.New(strings.NewReader("id: 1\n\n"+strings.Repeat("x", 1<<20)), func(n int64) error {
+		if counted+n > 64<<10 {
+			return errFull
+		}
+		counted += n
+		return nil
+	})
+	e, err := s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, e.ID, "1")
+	_, err = s.Next()
+	assert.Equal(t, err, errFull)
+	assert.Assert(t, counted > 32<<10, "%d bytes", counted)
+}
+
 func TestSequenceChecker(t *testing.T) {
 	for _, test := range []struct {
 		name, last string
