--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -177,8 +177,10 @@
 // tryPlain sends a call to one endpoint. It forwards the answer if that is a stream, and else
 // reads it whole.
 func (s *Server) tryPlain(ctx context.Context, j *job, p *progress, inst plank.Instance) attempt {
-	ctx, stopTimeout := s.limitAttempt(ctx, j)
-	defer stopTimeout(true)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopTimer := s.limitAttempt(j, cancel)
+	defer stopTimer()
 	sentAt, calls := s.deps.Clock.Now(), s.deps.InFlight.Count(inst.ID)+1
 	s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, 1)
 	defer s.deps.InFlight.Add(inst.ID, plank.AdapterRef{}, -1)
@@ -190,7 +192,7 @@
 	if a.err == nil {
 		defer a.reply.Body.Close()
 	}
-	s.receive(ctx, j, p, &a, func() { stopTimeout(false) })
+	s.receive(ctx, j, p, &a, func() { stopTimer() })
 	if a.result == served {
 		s.deps.Chooser.Paces.RecordPlain(j.service, inst.Run(), s.deps.Clock.Now().Sub(sentAt), calls, inst.Slots)
 		s.recordBegun(j, &a)
@@ -199,23 +201,15 @@
 	return a
 }
 
-// limitAttempt bounds the time until the answer of an attempt has ended, or its stream has
-// begun, if another endpoint can be tried then. stop ends the bound, and the context too if
-// cancel is set.
-func (s *Server) limitAttempt(ctx context.Context, j *job) (_ context.Context, stop func(cancel bool)) {
+// limitAttempt calls cancel when the time of an attempt is over, if another endpoint can be tried
+// then, unless stop is called before. A stream has to begin in that time, another answer to end.
+func (s *Server) limitAttempt(j *job, cancel func()) (stop func() bool) {
 	now := s.deps.Clock.Now()
-	d := now.Add(attemptTimeoutFactor * j.route.TargetLatency)
-	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts || !d.Before(now.Add(j.deadline.Sub(now)/2)) {
-		return ctx, func(bool) {}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(d.Sub(now), cancel)
-	return ctx, func(all bool) {
-		timer.Stop()
-		if all {
-			cancel()
-		}
+	timeout := attemptTimeoutFactor * j.route.TargetLatency
+	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxAttempts || timeout >= j.deadline.Sub(now)/2 {
+		return func() bool { return false }
 	}
+	return time.AfterFunc(timeout, cancel).Stop
 }
 
 // receive forwards the answer of an attempt to the caller if that is a stream, and else reads it
@@ -239,7 +233,7 @@
 // isStream reports whether an answer is a series of events, as the kind of the route or the
 // answer itself says.
 func (j *job) isStream(r *plank.Reply) bool {
-	if r.Status != http.StatusOK {
+	if r.Status != http.StatusOK || j.call.Method == http.MethodHead {
 		return false
 	}
 	if j.route.Kind == plank.Streaming {
