A write that is about to begin counts as one in progress

An endpoint that answers a long upload at its head and closes in order, before the goroutine that writes the upload has begun, could still end an answer without a length as whole. Read in the code, not seen: the window is that of starting a goroutine. The write is recorded before the goroutine starts.

conn embeds the streamConn, so that nothing writes past it.

--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -66,7 +66,7 @@
 // concurrent use.
 type Pool struct {
 	opts Options
-	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	dial func(ctx context.Context, network, addr string) (*streamConn, error)
 
 	mu sync.Mutex
 	// idle holds connections with no request in progress, the most recently used
@@ -98,7 +98,7 @@
 
 // A conn is one connection, which carries one request at a time.
 type conn struct {
-	net.Conn
+	*streamConn
 	br         *bufio.Reader // reads from head
 	head       *headReader
 	reuseUntil time.Time // end of the time in which it may be reused
@@ -156,15 +156,15 @@
 
 // connect opens a connection to the address of key.
 func (p *Pool) connect(ctx context.Context, key Key) (*conn, error) {
-	nc, err := p.dial(ctx, "tcp", key.Addr)
+	stream, err := p.dial(ctx, "tcp", key.Addr)
 	if err != nil {
 		return nil, &plank.SendError{Endpoint: key.Endpoint, Op: "dial", Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
 	if p.opts.OnDial != nil {
 		p.opts.OnDial()
 	}
-	head := &headReader{r: nc}
-	return &conn{Conn: nc, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	head := &headReader{r: stream}
+	return &conn{streamConn: stream, head: head, br: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // errHeadTooLong reports an answer whose head exceeds maxHeadBytes or maxHeadLines.
@@ -228,14 +228,15 @@
 		if len(r.Body) > 0 {
 			data = append(append(make([]byte, 0, len(r.Head)+len(r.Body)), r.Head...), r.Body...)
 		}
-		_, err := c.Conn.Write(data)
+		_, err := c.Write(data)
 		return written, err
 	}
-	if _, err := c.Conn.Write(r.Head); err != nil {
+	if _, err := c.Write(r.Head); err != nil {
 		return nil, err
 	}
+	c.startWrite()
 	go func() {
-		if _, err := c.Conn.Write(r.Body); err == nil {
+		if _, err := c.Write(r.Body); err == nil {
 			close(written)
 		}
 		// After an error, reading the answer fails as well (see streamConn), unless the
@@ -284,16 +285,6 @@
 	}
 }
 
-// tcp returns the TCP connection that c uses, or nil if it uses another kind.
-func (c *conn) tcp() *net.TCPConn {
-	inner := c.Conn
-	if s, ok := inner.(*streamConn); ok {
-		inner = s.Conn
-	}
-	tcp, _ := inner.(*net.TCPConn)
-	return tcp
-}
-
 // abandon closes the connection with a request on it whose answer is not whole. It resets the
 // connection, so that bytes that have not arrived are discarded: after a partition they would
 // reach the endpoint seconds after the caller was answered.
--- a/internal/conns/stream.go
+++ b/internal/conns/stream.go
@@ -42,8 +42,8 @@
 var errUnread = errors.New("the other side does not read it")
 
 // dialer returns a function that connects with d.
-func dialer(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+func dialer(d *net.Dialer) func(ctx context.Context, network, addr string) (*streamConn, error) {
+	return func(ctx context.Context, network, addr string) (*streamConn, error) {
 		c, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
@@ -63,11 +63,16 @@
 	return n, err
 }
 
-// Write implements net.Conn.
-func (c *streamConn) Write(p []byte) (int, error) {
+// startWrite records that a write is about to begin.
+func (c *streamConn) startWrite() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.writing = true
-	c.mu.Unlock()
+}
+
+// Write implements net.Conn.
+func (c *streamConn) Write(p []byte) (int, error) {
+	c.startWrite()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,3 +108,9 @@
 	defer c.mu.Unlock()
 	return c.writeErr
 }
+
+// tcp returns the TCP connection, or nil if it is one of another kind.
+func (c *streamConn) tcp() *net.TCPConn {
+	tcp, _ := c.Conn.(*net.TCPConn)
+	return tcp
+}
--- a/internal/conns/transport.go
+++ b/internal/conns/transport.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,7 +11,14 @@
 // the same errors as a Pool for answers that are none: a *CutError for one without a length
 // that may have been reset while its request was being written, and an *InvalidStatusError.
 func NewTransport(t *http.Transport) http.RoundTripper {
-	t.DialContext = dialer(&net.Dialer{})
+	dial := dialer(&net.Dialer{})
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
+	}
 	return &transport{t}
 }
 
