Answers of up to 16 KB may use the reserve of callers' memory

With 4 KB, an answer of ordinary size would wait on a small VM whose account is full of idle connections.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -19,7 +19,7 @@
 	maxTotalBodyBytes = 20 << 20
 	// smallBytes is the size of a buffer up to which an answer, or an event, is read whatever
 	// other answers hold. The users' plain answers have 800 bytes, and their events fewer.
-	smallBytes = initialBufferBytes
+	smallBytes = 16 << 10
 	// initialBufferBytes is the size that a buffer starts with.
 	initialBufferBytes = 4 << 10
 )
