Revisions of the store are ordered by its era

Cause: the table, watches, coverage, messages between VMs and the terms of leases take revisions as growing for ever. Those of the new era were lower than what was known, and ignored.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,6 +191,11 @@
 		OnUnreadable: func(err error) {
 			n.log.WithError(err).Warn("node: ignored an object of the store without readable metadata")
 		},
+		OnReturn: func(era uint64) {
+			n.log.WithField("era", era).Warn("node: the store came back from an older copy")
+			metrics.GetOrRegisterCounter("Store.Returns", n.registry).Inc(1)
+		},
+		OnUnreadableEra: func(err error) { n.log.WithError(err).Warn("node: an answer of the store without a readable era") },
 		OnCall: func(op string, status int, err error) {
 			name := "Store." + op
 			if err != nil {
--- a/units.go
+++ b/units.go
@@ -28,5 +28,6 @@
 // 0 means that the object does not exist.
 type ObjectVersion uint64
 
-// A Revision orders all changes of objects in the platform's object API.
+// A Revision orders all changes of objects in the platform's object API, also after the platform
+// has lost the latest of them.
 type Revision uint64
