--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -32,10 +32,8 @@
 	id, service, zone, model, addr string
 	born                           int64
 	rec                            *record
-	onBegin                        func(e *engine, id, adapter string, version int)
 
 	mu      sync.Mutex
-	slow    float64 // how many times as long work takes
 	seq     uint64
 	fence   uint64
 	held    map[string]int // versions of the adapters
@@ -45,7 +43,6 @@
 	queue   []*work        // prompts to be read
 	running int
 	wake    chan struct{}
-	newest  func(adapter string) int
 
 	// The fields below serve the case of late orders.
 	bare      bool      // the model is not loaded
@@ -86,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	e.addr, e.born, e.slow = ln.Addr().String(), time.Now().UnixMilli(), 1
+	e.addr, e.born = ln.Addr().String(), time.Now().UnixMilli()
 	e.held, e.loading, e.recent, e.users, e.wake = map[string]int{}, map[string]load{}, map[string]bool{}, map[string]int{}, make(chan struct{}, 1)
 	go e.readPrompts()
 	e.serveOn(ln)
@@ -176,13 +173,6 @@
 	}
 }
 
-// setSlow sets how many times as long work takes.
-func (e *engine) setSlow(x float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.slow = x
-}
-
 // registration returns the engine's entry in the store.
 func (e *engine) registration() map[string]any {
 	e.mu.Lock()
@@ -234,7 +224,7 @@
 			continue
 		}
 		now := time.Now()
-		left := now.Sub(last).Seconds() * 1000 * tokensPerMs / e.slow
+		left := now.Sub(last).Seconds() * 1000 * tokensPerMs
 		last = now
 		for left > 0 && len(e.queue) > 0 {
 			w := e.queue[0]
@@ -342,10 +332,7 @@
 	if e.bare {
 		return http.StatusConflict // the order that loads the model is in progress, or to come
 	}
-	want := max(version, 1)
-	if version == 0 {
-		want = e.newest(adapter)
-	}
+	want := max(version, 1) // no other version is named
 	l, isLoading := e.loading[adapter]
 	held, isHeld := e.held[adapter]
 	switch {
@@ -419,7 +406,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	e.onBegin(e, id, adapter, version)
 	w.Header().Set("Knapweedplank-Server-Stamp", "stamp-"+e.id+"-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Knapweedplank-Weight-Versions", strconv.Itoa(version))
@@ -430,11 +416,8 @@
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
-		e.mu.Lock()
-		pause := time.Duration(float64(stepTime) * e.slow)
-		e.mu.Unlock()
 		select {
-		case <-time.After(pause):
+		case <-time.After(stepTime):
 		case <-r.Context().Done():
 			return
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -8,7 +8,9 @@
 // cases are the subcommands.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"late-order": runLateOrder,
-	"version":    runVersion,
+	"late-ready": runLateReady,
+	"options":    runOptions,
+	"poison":     runPoison,
 }
 
 // main runs the case named by the first argument and writes its record to the file named by the
