--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package stand3_test
 
 import (
 	"encoding/json"
@@ -32,6 +34,7 @@
 	id, service, zone, model, addr string
 	born                           int64
 	rec                            *record
+	onBegin                        func(e *engine, id, adapter string, version int) // may be nil
 
 	mu      sync.Mutex
 	seq     uint64
@@ -406,6 +409,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	if e.onBegin != nil {
+		e.onBegin(e, id, adapter, version)
+	}
 	w.Header().Set("Knapweedplank-Server-Stamp", "stamp-"+e.id+"-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Knapweedplank-Weight-Versions", strconv.Itoa(version))
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet_test.go
@@ -1,7 +1,11 @@
-// Command stand-3 starts daemons of the project as processes, with stand-ins of the platform's
+//go:build review
+
+// Package stand3_test starts daemons of the project as processes, with stand-ins of the platform's
 // store, workers and clients around them on loopback addresses, and judges one rule by what the
-// stand-ins saw. Each case of the review has a subcommand.
-package main
+// stand-ins saw. Its test binary is the program that the scripts of the review's cases run: each
+// case has a subcommand. It lies behind a build tag, so that neither CI nor the default test run
+// builds it.
+package stand3_test
 
 import (
 	"fmt"
--- a/review/stand-3/main.go
+++ b/review/stand-3/main_test.go
@@ -1,8 +1,11 @@
-package main
+//go:build review
+
+package stand3_test
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // cases are the subcommands.
@@ -11,29 +14,36 @@
 	"late-ready": runLateReady,
 	"options":    runOptions,
 	"poison":     runPoison,
+	"stale":      runStale,
 }
 
-// main runs the case named by the first argument and writes its record to the file named by the
+// TestMain runs the case named by the first argument and writes its record to the file named by the
 // second. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+func TestMain(*testing.M) {
+	os.Exit(run(os.Args[1:], os.Getenv("TROUBLE") != "0"))
+}
+
+// run runs a case and returns the exit code.
+func run(args []string, trouble bool) int {
+	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE RECORD")
-		os.Exit(2)
+		return 2
 	}
 	rec := &record{}
-	broken, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	broken, err := cases[args[0]](rec, trouble)
 	if err != nil {
 		rec.addf("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
 	}
-	if werr := rec.write(os.Args[2]); werr != nil {
-		fmt.Fprintln(os.Stderr, werr)
-		os.Exit(2)
+	if err := rec.write(args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
 	}
 	switch {
 	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+		return 2
 	case broken:
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- a/review/stand-3/options.go
+++ b/review/stand-3/options_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package stand3_test
 
 import (
 	"bufio"
